--- a/mustardshunt/base/_refusals.py
+++ b/mustardshunt/base/_refusals.py
@@ -25,6 +25,7 @@
     RATE_EXCEEDED = 'rate-exceeded'
     RATE_UNAVAILABLE = 'rate-unavailable'
     OVERLOADED = 'overloaded'
+    REJECTED = 'rejected'
     DRAINING = 'draining'
     NO_BACKEND_SERVER = 'no-backend-server'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
--- /dev/null
+++ b/mustardshunt/caps/__init__.py
@@ -0,0 +1,5 @@
+"""Rates and bursts of organisations over all nodes."""
+
+from mustardshunt.caps._shares import JOIN_SECONDS, CapBounds, CapShares
+
+__all__ = ['JOIN_SECONDS', 'CapBounds', 'CapShares']
--- a/mustardshunt/observability/__init__.py
+++ b/mustardshunt/observability/__init__.py
@@ -1,7 +1,15 @@
 """Metrics and logs."""
 
+from mustardshunt.observability._event_log import EventLog, make_event_log
 from mustardshunt.observability._logs import set_up_logs
 from mustardshunt.observability._metrics import NodeMetrics
 from mustardshunt.observability._server import MetricsServer, NodeState
 
-__all__ = ['MetricsServer', 'NodeMetrics', 'NodeState', 'set_up_logs']
+__all__ = [
+    'EventLog',
+    'MetricsServer',
+    'NodeMetrics',
+    'NodeState',
+    'make_event_log',
+    'set_up_logs',
+]
--- /dev/null
+++ b/mustardshunt/platform/__main__.py
@@ -0,0 +1,65 @@
+"""Runs a node on the users' platform: ``python -m mustardshunt.platform``."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+
+from mustardshunt.platform import (
+    PlatformDialect,
+    PlatformServerCalls,
+    StoreClient,
+    StoreMemberDirectory,
+    StoreOperatorSource,
+)
+from mustardshunt.sidecar import (
+    PlatformAdapter,
+    SidecarSettings,
+    SidecarSettingsError,
+    parse_sidecar_settings,
+    run_sidecar,
+)
+
+SETTINGS_VARIABLE: Final = 'MUSTARDSHUNT_SETTINGS'
+_EXIT_BAD_SETTINGS: Final = 2
+
+
+async def run_node(settings: SidecarSettings) -> None:
+    """Run a node until it is asked to stop.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+    """
+    async with aiohttp.ClientSession() as session:
+        store = StoreClient(session, settings.platform.address)
+        adapter = PlatformAdapter(
+            PlatformDialect(),
+            PlatformServerCalls(settings.node.service),
+            StoreOperatorSource(store),
+            StoreMemberDirectory(store),
+        )
+        await run_sidecar(settings, adapter)
+
+
+def main() -> int:
+    """Read the settings file and run the node; returns the exit code."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, 'sidecar.ini'))
+    try:
+        settings = parse_sidecar_settings(
+            path.read_text(encoding='utf-8'),
+            str(path),
+        )
+    except (OSError, SidecarSettingsError) as error:
+        sys.stderr.write(f'{error}\n')
+        return _EXIT_BAD_SETTINGS
+    asyncio.run(run_node(settings))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/mustardshunt/platform/_policy.py
@@ -0,0 +1,157 @@
+"""The operators' configuration as a policy."""
+
+import json
+from typing import Any, Final
+
+from loguru import logger
+
+from mustardshunt.platform._values import (
+    MalformedError,
+    read_number,
+    read_seconds,
+    read_table,
+    read_text,
+    read_whole,
+)
+from mustardshunt.policy import (
+    OrganisationPolicy,
+    Policy,
+    RequestLimits,
+    RoutePart,
+    RoutePolicy,
+    ServicePolicy,
+)
+
+_IDEMPOTENT: Final = 'idempotent'
+_DEFAULT_TIMEOUT: Final = 5.0
+
+
+def decode_policy(document: bytes) -> Policy | None:
+    """Turn the operators' text into a policy.
+
+    Entries that cannot be read are left out and logged; the others hold.
+
+    Returns
+    -------
+    Policy or None
+        None when the text as a whole is no configuration.
+    """
+    try:
+        table = read_table(json.loads(document))
+        version = read_whole(table, 'version', -1)
+    except ValueError as error:
+        logger.bind(error=str(error)).warning('unreadable configuration')
+        return None
+    tenants = _entries(table, 'tenants', _decode_organisation)
+    return Policy(
+        version,
+        _entries(table, 'routes', _decode_route),
+        _entries(table, 'services', _decode_service),
+        tenants,
+        _keys(table, tenants),
+        _decode_limits(table.get('limits')),
+    )
+
+
+def _entries(table: dict[str, Any], name: str, decode: Any) -> dict[str, Any]:
+    decoded = {}
+    entries = table.get(name, {})
+    if not isinstance(entries, dict):
+        return {}
+    for key, entry in entries.items():
+        try:
+            decoded[key] = decode(key, read_table(entry))
+        except MalformedError as error:
+            logger.bind(entry=key, error=str(error)).warning(
+                'unreadable entry of the configuration',
+            )
+    return decoded
+
+
+def _decode_route(name: str, entry: dict[str, Any]) -> RoutePolicy:
+    timeout = read_seconds(entry, 'timeout', _DEFAULT_TIMEOUT)
+    return RoutePolicy(
+        name=name,
+        host=read_text(entry, 'host').lower(),
+        prefix=read_text(entry, 'prefix'),
+        # Unknown kinds are the ones that must not be repeated.
+        is_idempotent=entry.get('kind') == _IDEMPOTENT,
+        timeout=timeout,
+        target_latency=read_seconds(entry, 'target_latency', timeout),
+        priority=read_whole(entry, 'priority', 0),
+        parts=_decode_parts(entry),
+        max_attempts=max(1, read_whole(entry, 'max_attempts', 1)),
+        is_open=entry.get('auth_exempt') is True,
+    )
+
+
+def _decode_parts(entry: dict[str, Any]) -> tuple[RoutePart, ...]:
+    targets = entry.get('weighted_targets')
+    if not targets:
+        return (RoutePart(read_text(entry, 'service'), 1.0),)
+    if not isinstance(targets, list):
+        raise MalformedError(f'weighted_targets: found {targets!r}')
+    parts = []
+    for target in targets:
+        part = read_table(target)
+        weight = read_number(part, 'weight', 1.0)
+        if weight > 0:
+            parts.append(RoutePart(read_text(part, 'service'), weight))
+    if not parts:
+        raise MalformedError('weighted_targets: no part has a weight')
+    return tuple(parts)
+
+
+def _decode_service(name: str, entry: dict[str, Any]) -> ServicePolicy:
+    return ServicePolicy(
+        name=name,
+        health_path=entry.get('health_path') or '/healthz',
+        max_connections=read_whole(entry, 'max_connections', 0) or 2**31,
+        warmup=read_seconds(entry, 'warmup', 0.0),
+        cold_rate=read_number(entry, 'cold_per_s', 0.0),
+    )
+
+
+def _decode_organisation(
+    name: str,
+    entry: dict[str, Any],
+) -> OrganisationPolicy:
+    priority = None
+    if 'priority' in entry:
+        priority = read_whole(entry, 'priority', 0)
+    return OrganisationPolicy(
+        name=name,
+        priority=priority,
+        rate=read_number(entry, 'rate_per_s', 0.0),
+        burst=read_number(entry, 'burst', 0.0),
+    )
+
+
+def _keys(
+    table: dict[str, Any],
+    organisations: dict[str, OrganisationPolicy],
+) -> dict[str, str]:
+    name_by_key = {}
+    for name in organisations:
+        keys = table['tenants'][name].get('api_keys')
+        if not isinstance(keys, list):
+            continue
+        for key in keys:
+            if isinstance(key, str) and key:
+                name_by_key[key] = name
+    return name_by_key
+
+
+def _decode_limits(found: Any) -> RequestLimits:
+    default = RequestLimits()
+    try:
+        table = read_table(found)
+        return RequestLimits(
+            read_whole(table, 'max_header_bytes', default.max_header_bytes),
+            read_whole(table, 'max_body_bytes', default.max_body_bytes),
+            read_seconds(table, 'header_timeout', default.header_timeout),
+            read_seconds(table, 'idle_timeout', default.idle_timeout),
+        )
+    except MalformedError as error:
+        logger.bind(error=str(error)).warning('unreadable limits')
+        return default
--- /dev/null
+++ b/mustardshunt/relay/__init__.py
@@ -0,0 +1,72 @@
+"""Input and output of a node: callers, its backend server, its peers."""
+
+from mustardshunt.relay._backend import (
+    BackendAnswer,
+    BackendFailure,
+    BackendOutcome,
+    BackendPool,
+    FailureKind,
+)
+from mustardshunt.relay._frames import (
+    Answered,
+    Call,
+    Cancel,
+    FateAsk,
+    Frame,
+    FrameError,
+    FrameSplitter,
+    Hello,
+    Lost,
+    NotRun,
+    Ping,
+    PolicyAsk,
+    PolicyDocument,
+    Pong,
+    State,
+    decode_frame,
+    encode_frame,
+)
+from mustardshunt.relay._messages import (
+    HOP_HEADERS,
+    HttpReply,
+    HttpRequest,
+    RawHeaders,
+    RequestHandler,
+    render_headers,
+)
+from mustardshunt.relay._server import HttpServer
+from mustardshunt.relay._streams import FrameStream, dial
+
+__all__ = [
+    'HOP_HEADERS',
+    'Answered',
+    'BackendAnswer',
+    'BackendFailure',
+    'BackendOutcome',
+    'BackendPool',
+    'Call',
+    'Cancel',
+    'FailureKind',
+    'FateAsk',
+    'Frame',
+    'FrameError',
+    'FrameSplitter',
+    'FrameStream',
+    'Hello',
+    'HttpReply',
+    'HttpRequest',
+    'HttpServer',
+    'Lost',
+    'NotRun',
+    'Ping',
+    'PolicyAsk',
+    'PolicyDocument',
+    'Pong',
+    'RawHeaders',
+    'RequestHandler',
+    'State',
+    'decode_frame',
+    'dial',
+    'encode_frame',
+    'render_headers',
+]
--- /dev/null
+++ b/mustardshunt/sidecar/__init__.py
@@ -0,0 +1,40 @@
+"""A node of a deployment: relays calls beside one backend server."""
+
+from mustardshunt.sidecar._control import ServerCalls
+from mustardshunt.sidecar._node import PlatformAdapter, run_sidecar
+from mustardshunt.sidecar._ports import (
+    AnswerFacts,
+    CallerFacts,
+    HeaderDialect,
+    HistoryLostError,
+    MemberDirectory,
+    MemberNews,
+    OperatorNews,
+    OperatorSource,
+    PlatformError,
+)
+from mustardshunt.sidecar._settings import (
+    SidecarSettings,
+    SidecarSettingsError,
+    check_sidecar_settings,
+    parse_sidecar_settings,
+)
+
+__all__ = [
+    'AnswerFacts',
+    'CallerFacts',
+    'HeaderDialect',
+    'HistoryLostError',
+    'MemberDirectory',
+    'MemberNews',
+    'OperatorNews',
+    'OperatorSource',
+    'PlatformAdapter',
+    'PlatformError',
+    'ServerCalls',
+    'SidecarSettings',
+    'SidecarSettingsError',
+    'check_sidecar_settings',
+    'parse_sidecar_settings',
+    'run_sidecar',
+]
--- /dev/null
+++ b/mustardshunt/sidecar/_callee.py
@@ -0,0 +1,452 @@
+"""The node beside the backend server: runs the calls of all nodes."""
+
+from typing import Any, Final, Protocol
+
+from aiohttp.http_parser import RawResponseMessage
+
+from mustardshunt.base import Clock, Reason
+from mustardshunt.observability import EventLog
+from mustardshunt.policy import PolicyRegistry
+from mustardshunt.relay import (
+    HOP_HEADERS,
+    Answered,
+    BackendAnswer,
+    BackendFailure,
+    BackendOutcome,
+    BackendPool,
+    Call,
+    FailureKind,
+    Lost,
+    NotRun,
+    State,
+    render_headers,
+)
+from mustardshunt.sidecar._ports import HeaderDialect
+from mustardshunt.upstream import (
+    Admission,
+    BackendGate,
+    GateChange,
+    GateView,
+    ServerReport,
+    Ticket,
+)
+
+MS_PER_SECOND: Final = 1000.0
+# The entry node gives up first; this only ends what it can no longer cancel.
+DEADLINE_GRACE: Final = 0.3
+_SUCCESS: Final = range(200, 300)
+# Changes of load are shown at most this often; other changes at once.
+SHOW_SECONDS: Final = 0.2
+# Changes of load below this part of the limit are not worth the bytes.
+SHOWN_LOAD_STEP: Final = 0.15
+SHOWN_CUTOFF_STEP: Final = 0.1
+
+
+class ReplySink(Protocol):
+    """Where the result of a call goes."""
+
+    def deliver(self, number: int, frame: Answered | NotRun | Lost) -> None:
+        """Take the result of a call."""
+        ...
+
+    def show(self, state: State) -> None:
+        """Take a new state of the backend server."""
+        ...
+
+
+class ServedCall:
+    """A call that waits for the backend server or runs there."""
+
+    __slots__ = (
+        '_callee',
+        'call',
+        'connection',
+        'deadline',
+        'is_done',
+        'sink',
+        'ticket',
+    )
+
+    def __init__(
+        self,
+        callee: 'Callee',
+        call: Call,
+        sink: ReplySink,
+        ticket: Ticket,
+        deadline: float,
+    ) -> None:
+        self._callee = callee
+        self.call = call
+        self.ticket = ticket
+        self.sink = sink
+        self.deadline = deadline
+        self.connection: Any = None
+        self.is_done = False
+
+    def render(self) -> bytes:
+        """Return the request for the backend server."""
+        return self._callee.render(self)
+
+    def owns(self, message: RawResponseMessage) -> bool:
+        """Tell whether an answer belongs to this call."""
+        return self._callee.dialect.owns(message, self.call.request_id)
+
+    def finish(self, outcome: BackendOutcome) -> None:
+        """Take what became of the request."""
+        self._callee.complete(self, outcome)
+
+
+class Callee:
+    """Admits calls and passes them to the backend server.
+
+    Parameters
+    ----------
+    service : str
+        Service of the backend server.
+    incarnation : str
+        Run of this node.
+    gate : BackendGate
+        Decides which calls pass.
+    pool : BackendPool
+        Connections to the backend server.
+    dialect : HeaderDialect
+        Headers of the platform.
+    registry : PolicyRegistry
+        Policy in force.
+    log : EventLog
+        Takes decisions worth explaining.
+    clock : Clock
+        Source of the time.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        incarnation: str,
+        gate: BackendGate,
+        pool: BackendPool,
+        dialect: HeaderDialect,
+        registry: PolicyRegistry,
+        log: EventLog,
+        clock: Clock,
+    ) -> None:
+        self.service = service
+        self.dialect = dialect
+        self.gate = gate
+        self._incarnation = incarnation
+        self._pool = pool
+        self._registry = registry
+        self._log = log
+        self._clock = clock
+        self._served_by_ticket: dict[Ticket, ServedCall] = {}
+        self._sinks: list[ReplySink] = []
+        self._shown: GateView | None = None
+        self._shown_at = 0.0
+        self.dependency_cutoff = float('inf')
+        self.is_leaving = False
+        self.revision = 0
+
+    def attach(self, sink: ReplySink) -> None:
+        """Show a sink the state from now on."""
+        self._sinks.append(sink)
+        sink.show(self._state(self.view()))
+
+    def detach(self, sink: ReplySink) -> None:
+        """Show a sink nothing more."""
+        if sink in self._sinks:
+            self._sinks.remove(sink)
+
+    def in_flight(self) -> int:
+        """Return how many calls wait or run."""
+        return len(self._served_by_ticket)
+
+    def accept(self, call: Call, sink: ReplySink) -> Ticket | None:
+        """Admit, queue or refuse a call.
+
+        Returns
+        -------
+        Ticket or None
+            Handle to cancel the call, None when it was refused.
+        """
+        now = self._clock.now()
+        if call.service != self.service or call.remaining_ms <= 0:
+            self._refuse(call, sink, Reason.NOT_READY)
+            return None
+        ticket = Ticket(
+            (id(sink), call.number),
+            call.position,
+            call.is_continuation,
+            call.organisation,
+            now + call.patience_ms / MS_PER_SECOND,
+        )
+        deadline = now + call.remaining_ms / MS_PER_SECOND
+        served = ServedCall(self, call, sink, ticket, deadline)
+        verdict = self.gate.arrive(ticket, now)
+        if isinstance(verdict, Reason):
+            self._refuse(call, sink, verdict)
+            return None
+        self._served_by_ticket[ticket] = served
+        if verdict is Admission.STARTED:
+            served.connection = self._pool.submit(served)
+        return ticket
+
+    def cancel(self, ticket: Ticket, reason: str) -> None:
+        """Give a call up, because nobody waits for it any more."""
+        served = self._served_by_ticket.get(ticket)
+        if served is None:
+            return
+        if served.connection is not None:
+            served.connection.cancel(served)
+            return
+        self._release(served)
+        self._log.record(
+            'call-cancelled-in-queue',
+            self._clock.now(),
+            request=served.call.request_id,
+            reason=reason,
+        )
+
+    def render(self, served: ServedCall) -> bytes:
+        """Return a call as a request for the backend server."""
+        call = served.call
+        left_ms = int((served.deadline - self._clock.now()) * MS_PER_SECOND)
+        set_head = self.dialect.backend_head(
+            call,
+            self.gate.instance,
+            max(1, left_ms),
+        )
+        length = b''
+        if call.body or call.method not in {'GET', 'HEAD', 'DELETE'}:
+            length = b'Content-Length: %d\r\n' % len(call.body)
+        return b'%b %b HTTP/1.1\r\n%b%b%b\r\n%b' % (
+            call.method.encode(),
+            call.target.encode('utf-8', 'surrogateescape'),
+            call.head,
+            set_head,
+            length,
+            call.body,
+        )
+
+    def complete(self, served: ServedCall, outcome: BackendOutcome) -> None:
+        """Pass on what became of a call at the backend server."""
+        if served.is_done:
+            return
+        change = self._release(served)
+        served.sink.deliver(served.call.number, self._judge(served, outcome))
+        self._apply(change)
+
+    def report(self, report: ServerReport) -> bool:
+        """Take a heartbeat of the backend server."""
+        now = self._clock.now()
+        before = (self.gate.instance, self.gate.presence.phase)
+        if not self.gate.report(report, now):
+            return False
+        after = (self.gate.instance, self.gate.presence.phase)
+        if before != after:
+            self._log.record(
+                'backend-server',
+                now,
+                instance=report.instance,
+                phase=report.phase.value,
+                before=before[1].value,
+                sequence=report.sequence,
+                slots=report.slots,
+                cold_for=report.cold_for,
+            )
+        self._after_change(now)
+        return True
+
+    def leave(self, instance: str) -> None:
+        """Note that the backend server says it leaves."""
+        now = self._clock.now()
+        if self.gate.presence.leave(instance):
+            self._log.record(
+                'backend-server',
+                now,
+                instance=instance,
+                phase='gone',
+                reason='it has left',
+            )
+        self._after_change(now)
+
+    def lose_server(self) -> None:
+        """Note that nobody listens at the backend server's address."""
+        now = self._clock.now()
+        self.gate.presence.lose()
+        self._log.record(
+            'backend-server',
+            now,
+            instance=self.gate.instance,
+            phase=self.gate.presence.phase.value,
+            reason='connection refused',
+        )
+        self._after_change(now)
+
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Take the backend server out of service, or back."""
+        now = self._clock.now()
+        self._apply(self.gate.set_evacuated(is_evacuated, now))
+        self._show_if_changed(now)
+
+    def tick(self) -> None:
+        """Turn late calls away, and show changes of state."""
+        now = self._clock.now()
+        self._apply(self.gate.tick(now))
+        late = [
+            (ticket, served)
+            for ticket, served in self._served_by_ticket.items()
+            if served.deadline + DEADLINE_GRACE < now
+        ]
+        for ticket, _ in late:
+            self.cancel(ticket, 'deadline')
+        self._pool.sweep(now)
+        self._show_if_changed(now)
+
+    def view(self) -> GateView:
+        """Return the state that other nodes see."""
+        view = self.gate.view(self._clock.now())
+        cutoff = min(view.cutoff, self.dependency_cutoff)
+        phase = view.phase
+        if self.is_leaving and self.gate.is_open():
+            phase = type(phase).DRAINING
+        return GateView(
+            phase, view.is_cold, view.in_flight, view.limit, cutoff
+        )
+
+    def show_now(self) -> None:
+        """Show the state to all nodes, whether it has changed or not."""
+        self._show(self.view(), self._clock.now())
+
+    def _judge(
+        self,
+        served: ServedCall,
+        outcome: BackendOutcome,
+    ) -> Answered | NotRun | Lost:
+        number = served.call.number
+        if isinstance(outcome, BackendFailure):
+            if not outcome.has_begun:
+                return self._not_run(number, Reason.NOT_READY)
+            self._log_loss(served, outcome.kind.value)
+            return Lost(number, outcome.kind.value)
+        return self._judge_answer(served, outcome)
+
+    def _judge_answer(
+        self,
+        served: ServedCall,
+        answer: BackendAnswer,
+    ) -> Answered | NotRun | Lost:
+        number = served.call.number
+        facts = self.dialect.read_answer(answer.status, answer.raw_headers)
+        if facts.is_other_server:
+            self.gate.presence.lose()
+            return self._not_run(number, Reason.NOT_READY)
+        if facts.says_not_run:
+            return self._not_run(number, Reason.REJECTED)
+        is_success = answer.status in _SUCCESS
+        if facts.is_encoded or (is_success and not facts.is_stamped):
+            self._log_loss(served, 'not the answer of the backend server')
+            return Lost(number, FailureKind.INVALID.value)
+        return Answered(
+            number,
+            answer.status,
+            render_headers(answer.raw_headers, HOP_HEADERS),
+            answer.body,
+            self.in_flight(),
+            self._cutoff_percent(),
+        )
+
+    def _log_loss(self, served: ServedCall, how: str) -> None:
+        self._log.record(
+            'answer-lost',
+            self._clock.now(),
+            request=served.call.request_id,
+            how=how,
+            instance=self.gate.instance,
+        )
+
+    def _not_run(self, number: int, reason: Reason) -> NotRun:
+        return NotRun(
+            number,
+            reason.value,
+            self.in_flight(),
+            self._cutoff_percent(),
+        )
+
+    def _refuse(self, call: Call, sink: ReplySink, reason: Reason) -> None:
+        sink.deliver(call.number, self._not_run(call.number, reason))
+        self._log.record(
+            'call-turned-away',
+            self._clock.now(),
+            request=call.request_id,
+            reason=reason.value,
+            running=self.gate.running,
+            limit=self.gate.limit(),
+        )
+
+    def _release(self, served: ServedCall) -> GateChange:
+        served.is_done = True
+        self._served_by_ticket.pop(served.ticket, None)
+        return self.gate.finish(served.ticket.key, self._clock.now())
+
+    def _apply(self, change: GateChange) -> None:
+        for turned in change.turned:
+            served = self._served_by_ticket.pop(turned.ticket, None)
+            if served is None:
+                continue
+            served.is_done = True
+            self._refuse(served.call, served.sink, turned.reason)
+        for ticket in change.started:
+            served = self._served_by_ticket.get(ticket)
+            if served is not None:
+                served.connection = self._pool.submit(served)
+
+    def _after_change(self, now: float) -> None:
+        self._apply(self.gate.tick(now))
+        self._show_if_changed(now)
+
+    def _cutoff_percent(self) -> int:
+        cutoff = min(self.gate.cutoff.level, self.dependency_cutoff)
+        return int(cutoff * 100)
+
+    def _show_if_changed(self, now: float) -> None:
+        view = self.view()
+        shown = self._shown
+        if shown is None or _has_turned(shown, view):
+            self._show(view, now)
+            return
+        if now - self._shown_at >= SHOW_SECONDS and _has_moved(shown, view):
+            self._show(view, now)
+
+    def _show(self, view: GateView, now: float) -> None:
+        self._shown = view
+        self._shown_at = now
+        state = self._state(view)
+        for sink in list(self._sinks):
+            sink.show(state)
+
+    def _state(self, view: GateView) -> State:
+        return State(
+            self._incarnation,
+            view.phase.value,
+            view.is_cold,
+            view.in_flight,
+            view.limit,
+            view.cutoff,
+            self.revision,
+        )
+
+
+def _has_turned(shown: GateView, view: GateView) -> bool:
+    return (
+        shown.phase is not view.phase
+        or shown.is_cold != view.is_cold
+        or shown.limit != view.limit
+    )
+
+
+def _has_moved(shown: GateView, view: GateView) -> bool:
+    moved = abs(shown.in_flight - view.in_flight)
+    if moved > SHOWN_LOAD_STEP * view.limit:
+        return True
+    return abs(shown.cutoff - view.cutoff) >= SHOWN_CUTOFF_STEP
+
--- /dev/null
+++ b/mustardshunt/sidecar/_control.py
@@ -0,0 +1,108 @@
+"""Small HTTP services of a sidecar: readiness, heartbeats, metrics."""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from mustardshunt.relay import HttpReply, HttpRequest
+from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._lifecycle import SidecarLifecycle
+from mustardshunt.sidecar._metrics import SidecarMetrics
+from mustardshunt.upstream import ServerReport
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_UNAVAILABLE: Final = 503
+_TEXT: Final = b'Content-Type: text/plain; version=0.0.4\r\n'
+
+
+class ReadyHandler:
+    """Tells whether callers may be sent to this node.
+
+    Parameters
+    ----------
+    lifecycle : SidecarLifecycle
+        State of the node.
+    """
+
+    def __init__(self, lifecycle: SidecarLifecycle) -> None:
+        self._lifecycle = lifecycle
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer 200 when the node is ready, otherwise 503."""
+        status = _OK if self._lifecycle.is_ready else _UNAVAILABLE
+        return HttpReply(status, b'', self._lifecycle.state.encode() + b'\n')
+
+
+class MetricsHandler:
+    """Shows the metrics.
+
+    Parameters
+    ----------
+    metrics : SidecarMetrics
+        Metrics of the node.
+    refresh : callable
+        Brings the gauges up to date.
+    """
+
+    def __init__(
+        self,
+        metrics: SidecarMetrics,
+        refresh: Callable[[], None],
+    ) -> None:
+        self._metrics = metrics
+        self._refresh = refresh
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer with the metrics as text."""
+        if request.target.partition('?')[0] != '/metrics':
+            return HttpReply(_NOT_FOUND, b'', b'')
+        self._refresh()
+        return HttpReply(_OK, _TEXT, self._metrics.render())
+
+
+class ServerCalls(Protocol):
+    """Reads the calls that a backend server makes to its node."""
+
+    def read_report(self, request: HttpRequest) -> ServerReport | None:
+        """Return a heartbeat, None if the request is none."""
+        ...
+
+    def read_leave(self, request: HttpRequest) -> str | None:
+        """Return the run that leaves, None if the request says no such."""
+        ...
+
+    def confirm(self) -> HttpReply:
+        """Return the confirmation of a call."""
+        ...
+
+    def reject(self, request: HttpRequest) -> HttpReply:
+        """Return the answer to a call that cannot be read."""
+        ...
+
+
+class HeartbeatHandler:
+    """Takes what the backend server says of itself.
+
+    Parameters
+    ----------
+    calls : ServerCalls
+        Reads the calls.
+    callee : Callee
+        Takes what they say.
+    """
+
+    def __init__(self, calls: ServerCalls, callee: Callee) -> None:
+        self._calls = calls
+        self._callee = callee
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Confirm what was understood; late heartbeats are confirmed too."""
+        report = self._calls.read_report(request)
+        if report is not None:
+            self._callee.report(report)
+            return self._calls.confirm()
+        instance = self._calls.read_leave(request)
+        if instance is not None:
+            self._callee.leave(instance)
+            return self._calls.confirm()
+        return self._calls.reject(request)
--- /dev/null
+++ b/mustardshunt/sidecar/_entry.py
@@ -0,0 +1,493 @@
+"""The node at which a request enters: checks, routes, retries, replies."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from mustardshunt.base import Clock, Reason
+from mustardshunt.caps import CapShares
+from mustardshunt.observability import EventLog
+from mustardshunt.placement import (
+    Balancer,
+    MemberLoad,
+    RetryAllowance,
+    RouteSplit,
+)
+from mustardshunt.policy import PolicyInForce, PolicyRegistry, RoutePolicy
+from mustardshunt.relay import (
+    HOP_HEADERS,
+    Answered,
+    Call,
+    HttpReply,
+    HttpRequest,
+    Lost,
+    NotRun,
+    render_headers,
+)
+from mustardshunt.sidecar._metrics import SidecarMetrics
+from mustardshunt.sidecar._peer_link import CallResult
+from mustardshunt.sidecar._ports import CallerFacts, HeaderDialect
+
+MS_PER_SECOND: Final = 1000.0
+# Part of the target latency for which a call may wait for a slot; a refusal
+# that comes later has cost the caller the time for another attempt.
+PATIENCE: Final = 0.25
+# Calls that a running request needs wait longer: turning one away wastes
+# what the request has used already.
+CONTINUATION_PATIENCE: Final = 0.6
+# Members that may refuse a call before the entry node gives up; what a node
+# refuses has not reached its backend server.
+MAX_REROUTES: Final = 3
+# Part of the target latency after which a refused caller may come back.
+RETRY_AFTER: Final = 0.4
+SHORTEST_RETRY_AFTER: Final = 0.05
+LONGEST_RETRY_AFTER: Final = 1.5
+# Shorter times left are no use to any backend server.
+LEAST_SECONDS_LEFT: Final = 0.002
+
+_STATUS_BY_REASON: Final = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.RATE_EXCEEDED: 429,
+    Reason.BACKEND_SERVER_LOST: 502,
+    Reason.DEADLINE_EXCEEDED: 504,
+}
+_UNAVAILABLE: Final = 503
+_SERVER_ERROR: Final = 500
+_GATEWAY_TIMEOUT: Final = 504
+
+
+class Sender(Protocol):
+    """Sends calls to members, this node's own backend server included."""
+
+    def send(self, name: str, call: Call) -> asyncio.Future[CallResult]:
+        """Send a call to a member."""
+        ...
+
+    def cancel(self, name: str, number: int) -> None:
+        """Stop waiting for a call."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """What stays the same over all attempts of one request."""
+
+    request: HttpRequest
+    facts: CallerFacts
+    route: RoutePolicy
+    service: str
+    organisation: str
+    position: int
+    is_continuation: bool
+    head: bytes
+    started_at: float
+    deadline: float
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What the attempts of one request have come to."""
+
+    tried: set[str]
+    runs: int = 0
+    refusals: int = 0
+    last_reason: Reason = Reason.NO_BACKEND_SERVER
+    last_answer: Answered | None = None
+
+
+class RefusedError(Exception):
+    """A request is answered by the node itself.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    retry_after : float
+        Seconds after which the caller may come back, 0 if it should not.
+    """
+
+    def __init__(self, reason: Reason, retry_after: float = 0.0) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class Entry:
+    """Serves the requests of the callers beside this node.
+
+    Parameters
+    ----------
+    service : str
+        Service of the backend server beside this node.
+    registry : PolicyRegistry
+        Policy in force.
+    balancer : Balancer
+        Chooses members.
+    split : RouteSplit
+        Divides a route among services.
+    retries : RetryAllowance
+        Bounds repeats.
+    caps : CapShares
+        Bounds the rates of organisations.
+    sender : Sender
+        Sends calls.
+    dialect : HeaderDialect
+        Headers of the platform.
+    log : EventLog
+        Takes decisions worth explaining.
+    metrics : SidecarMetrics
+        Counts outcomes.
+    clock : Clock
+        Source of the time.
+    """
+
+    def __init__(  # noqa: WPS211 - the place where all decisions meet
+        self,
+        service: str,
+        registry: PolicyRegistry,
+        balancer: Balancer,
+        split: RouteSplit,
+        retries: RetryAllowance,
+        caps: CapShares,
+        sender: Sender,
+        dialect: HeaderDialect,
+        log: EventLog,
+        metrics: SidecarMetrics,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._registry = registry
+        self._balancer = balancer
+        self._split = split
+        self._retries = retries
+        self._caps = caps
+        self._sender = sender
+        self._dialect = dialect
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+        self._dropped = HOP_HEADERS | dialect.dropped
+        self._next_number = 0
+        self.is_stopped = False
+        # Services that the backend server beside this node has called, with
+        # the time of the last call.
+        self.called_at: dict[str, float] = {}
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Return the reply to a request."""
+        started_at = self._clock.now()
+        facts = self._dialect.read_request(request)
+        try:
+            attempt = self._admit(request, facts, started_at)
+        except RefusedError as refusal:
+            return self._refuse(refusal, facts, '', '', started_at)
+        outcome = 'cancelled'
+        try:
+            async with asyncio.timeout_at(attempt.deadline):
+                reply = await self._serve(attempt)
+            outcome = str(reply.status)
+            return reply
+        except TimeoutError:
+            outcome = Reason.DEADLINE_EXCEEDED.value
+            refusal = RefusedError(Reason.DEADLINE_EXCEEDED)
+        except RefusedError as error:
+            outcome = error.reason.value
+            refusal = error
+        finally:
+            self._count(attempt, outcome)
+        return self._refuse(
+            refusal,
+            facts,
+            attempt.route.name,
+            attempt.organisation,
+            started_at,
+        )
+
+    def _admit(
+        self,
+        request: HttpRequest,
+        facts: CallerFacts,
+        now: float,
+    ) -> _Attempt:
+        in_force = self._registry.in_force
+        if in_force is None or self.is_stopped:
+            raise RefusedError(Reason.NOT_READY, SHORTEST_RETRY_AFTER * 4)
+        host = request.headers.get('Host', '')
+        route = in_force.routes.find(host, request.target)
+        if route is None:
+            raise RefusedError(Reason.UNKNOWN_ROUTE)
+        organisation = _identify(route, facts, in_force)
+        if not facts.request_id:
+            raise RefusedError(Reason.BAD_REQUEST)
+        left = route.timeout
+        if facts.seconds_left is not None:
+            left = min(left, facts.seconds_left)
+        is_continuation = route.is_open and facts.key is None
+        service = self._split.choose(route)
+        if is_continuation:
+            self.called_at[service] = now
+        attempt = _Attempt(
+            request,
+            facts,
+            route,
+            service,
+            organisation,
+            _position(route, organisation, in_force),
+            is_continuation and bool(in_force.policy.organisation_by_name),
+            render_headers(request.raw_headers, self._dropped),
+            now,
+            now + left,
+        )
+        wait = self._caps.spend(organisation, now) if organisation else 0.0
+        if wait > 0:
+            raise RefusedError(Reason.RATE_EXCEEDED, wait)
+        return attempt
+
+    async def _serve(self, attempt: _Attempt) -> HttpReply:
+        progress = _Progress(tried=set())
+        self._retries.deposit(attempt.service, attempt.started_at)
+        try:
+            answer = await self._try_members(attempt, progress)
+        except RefusedError:
+            if progress.last_answer is not None:
+                answer = progress.last_answer
+            elif progress.runs:
+                # An earlier attempt may have run, so "not run" is not true.
+                raise RefusedError(Reason.BACKEND_SERVER_LOST) from None
+            else:
+                raise
+        return HttpReply(answer.status, answer.head, answer.body)
+
+    async def _try_members(
+        self,
+        attempt: _Attempt,
+        progress: _Progress,
+    ) -> Answered:
+        while True:
+            load = self._choose(attempt, progress)
+            result = await self._send(attempt, load)
+            if isinstance(result, Answered):
+                if not self._may_improve(attempt, progress, result):
+                    return result
+            elif isinstance(result, NotRun):
+                self._note_not_run(attempt, progress, result)
+            else:
+                self._note_lost(attempt, progress, result)
+
+    def _choose(self, attempt: _Attempt, progress: _Progress) -> MemberLoad:
+        now = self._clock.now()
+        load = self._balancer.choose(attempt.service, progress.tried, now)
+        if load is None:
+            raise self._unavailable(attempt, progress.last_reason)
+        is_first = not progress.tried
+        if is_first and not attempt.is_continuation:
+            if attempt.position + random.random() >= load.view.cutoff:
+                raise self._unavailable(attempt, Reason.OVERLOADED)
+        progress.tried.add(load.member.name)
+        return load
+
+    async def _send(self, attempt: _Attempt, load: MemberLoad) -> CallResult:
+        now = self._clock.now()
+        left = attempt.deadline - now
+        if left < LEAST_SECONDS_LEFT:
+            raise RefusedError(Reason.DEADLINE_EXCEEDED)
+        name = load.member.name
+        call = self._make_call(attempt, left)
+        self._balancer.start(load)
+        result: CallResult | None = None
+        try:
+            result = await self._sender.send(name, call)
+        finally:
+            if result is None:
+                self._sender.cancel(name, call.number)
+            self._observe(attempt, load, result, now)
+        return result
+
+    def _make_call(self, attempt: _Attempt, left: float) -> Call:
+        patience = PATIENCE
+        if attempt.is_continuation:
+            patience = CONTINUATION_PATIENCE
+        self._next_number += 1
+        request = attempt.request
+        return Call(
+            number=self._next_number,
+            service=attempt.service,
+            request_id=attempt.facts.request_id,
+            remaining_ms=int(left * MS_PER_SECOND),
+            patience_ms=int(
+                attempt.route.target_latency * patience * MS_PER_SECOND
+            ),
+            position=attempt.position,
+            is_continuation=attempt.is_continuation,
+            organisation=attempt.organisation,
+            caller_service=self._service,
+            method=request.method,
+            target=request.target,
+            head=attempt.head,
+            body=request.body,
+        )
+
+    def _observe(
+        self,
+        attempt: _Attempt,
+        load: MemberLoad,
+        result: CallResult | None,
+        sent_at: float,
+    ) -> None:
+        now = self._clock.now()
+        latency = now - sent_at if isinstance(result, Answered) else None
+        has_failed = isinstance(result, Lost)
+        outcome = 'cancelled'
+        if isinstance(result, Answered):
+            has_failed = result.status >= _SERVER_ERROR
+            has_failed = has_failed and result.status != _GATEWAY_TIMEOUT
+            outcome = 'answered'
+        elif isinstance(result, NotRun):
+            has_failed = result.reason == Reason.REJECTED.value
+            outcome = result.reason
+        elif isinstance(result, Lost):
+            outcome = 'lost'
+        self._metrics.sends.labels(attempt.service, outcome).inc()
+        self._balancer.finish(
+            load,
+            attempt.route.name,
+            latency,
+            has_failed,
+            now,
+        )
+
+    def _may_improve(
+        self,
+        attempt: _Attempt,
+        progress: _Progress,
+        answer: Answered,
+    ) -> bool:
+        if answer.status < _SERVER_ERROR or answer.status == _GATEWAY_TIMEOUT:
+            return False
+        progress.runs += 1
+        progress.last_answer = answer
+        return self._may_repeat(attempt, progress, 'failed')
+
+    def _note_not_run(
+        self,
+        attempt: _Attempt,
+        progress: _Progress,
+        result: NotRun,
+    ) -> None:
+        reason = Reason(result.reason)
+        progress.last_reason = reason
+        progress.refusals += 1
+        if progress.refusals > MAX_REROUTES:
+            raise self._unavailable(attempt, reason)
+        if reason is not Reason.REJECTED:
+            return
+        # The backend server itself turned it away, so another send counts
+        # as a repeat at the service.
+        now = self._clock.now()
+        if not self._retries.take(attempt.service, now):
+            raise self._unavailable(attempt, reason)
+
+    def _note_lost(
+        self,
+        attempt: _Attempt,
+        progress: _Progress,
+        result: Lost,
+    ) -> None:
+        progress.runs += 1
+        if self._may_repeat(attempt, progress, result.reason):
+            return
+        raise RefusedError(Reason.BACKEND_SERVER_LOST)
+
+    def _may_repeat(
+        self,
+        attempt: _Attempt,
+        progress: _Progress,
+        why: str,
+    ) -> bool:
+        route = attempt.route
+        now = self._clock.now()
+        if not route.is_idempotent or progress.runs >= route.max_attempts:
+            return False
+        others = self._balancer.choose(attempt.service, progress.tried, now)
+        if others is None or not self._retries.take(attempt.service, now):
+            return False
+        self._log.record(
+            'sent-again',
+            now,
+            request=attempt.facts.request_id,
+            route=route.name,
+            why=why,
+            runs=progress.runs,
+        )
+        return True
+
+    def _unavailable(self, attempt: _Attempt, reason: Reason) -> RefusedError:
+        pause = attempt.route.target_latency * RETRY_AFTER
+        pause *= 0.75 + random.random() / 2
+        bounded = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, pause))
+        return RefusedError(reason, bounded)
+
+    def _refuse(
+        self,
+        refusal: RefusedError,
+        facts: CallerFacts,
+        route: str,
+        organisation: str,
+        started_at: float,
+    ) -> HttpReply:
+        now = self._clock.now()
+        status = _STATUS_BY_REASON.get(refusal.reason, _UNAVAILABLE)
+        self._log.record(
+            'request-refused',
+            now,
+            request=facts.request_id,
+            route=route,
+            organisation=organisation,
+            reason=refusal.reason.value,
+            status=status,
+            held_ms=round((now - started_at) * MS_PER_SECOND, 1),
+            policy=self._registry.version,
+        )
+        if not route:
+            self._metrics.outcomes.labels('', '', refusal.reason.value).inc()
+        head = b''
+        if refusal.retry_after > 0:
+            head = b'Retry-After: %.3f\r\n' % refusal.retry_after
+        return HttpReply(status, head, refusal.reason.value.encode() + b'\n')
+
+    def _count(self, attempt: _Attempt, outcome: str) -> None:
+        route = attempt.route.name
+        self._metrics.outcomes.labels(
+            route, attempt.organisation, outcome
+        ).inc()
+        passed = self._clock.now() - attempt.started_at
+        self._metrics.seconds.labels(route).observe(passed)
+
+
+def _identify(
+    route: RoutePolicy,
+    facts: CallerFacts,
+    in_force: PolicyInForce,
+) -> str:
+    policy = in_force.policy
+    if route.is_open or not policy.organisation_by_name:
+        return ''
+    organisation = policy.organisation_by_key.get(facts.key or '')
+    if organisation is None:
+        raise RefusedError(Reason.UNKNOWN_KEY)
+    return organisation
+
+
+def _position(
+    route: RoutePolicy,
+    organisation: str,
+    in_force: PolicyInForce,
+) -> int:
+    rank = route.priority
+    known = in_force.policy.organisation_by_name.get(organisation)
+    if known is not None and known.priority is not None:
+        rank = known.priority
+    return in_force.ranks.position(rank)
--- /dev/null
+++ b/mustardshunt/sidecar/_lifecycle.py
@@ -0,0 +1,54 @@
+"""Life cycle of a sidecar."""
+
+from typing import Any, Final
+
+from transitions import Machine
+
+# Trigger, source and destination.
+_TRANSITIONS: Final = (
+    ('serve', 'starting', 'serving'),
+    ('drain', ['starting', 'serving'], 'draining'),
+    ('leave', 'draining', 'leaving'),
+    ('stop', '*', 'stopped'),
+)
+_STATES: Final = ('starting', 'serving', 'draining', 'leaving', 'stopped')
+
+
+class SidecarLifecycle:
+    """States of a sidecar: starting, serving, draining, leaving, stopped.
+
+    A starting sidecar knows no policy yet. A draining one still serves its
+    callers, which have two seconds to notice that it is not ready; a leaving
+    one accepts no connections.
+
+    Examples
+    --------
+    >>> lifecycle = SidecarLifecycle()
+    >>> lifecycle.is_ready, lifecycle.serve(), lifecycle.is_ready
+    (False, True, True)
+    """
+
+    state: str
+
+    def __init__(self) -> None:
+        Machine(
+            model=self,
+            states=list(_STATES),
+            transitions=[list(transition) for transition in _TRANSITIONS],
+            initial='starting',
+            auto_transitions=False,
+        )
+
+    def __getattr__(self, name: str) -> Any:
+        # The machine sets the triggers on the instance.
+        raise AttributeError(name)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent to this node."""
+        return self.state == 'serving'
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.state in {'draining', 'leaving', 'stopped'}
--- /dev/null
+++ b/mustardshunt/sidecar/_metrics.py
@@ -0,0 +1,85 @@
+"""Counters, gauges and histograms of a sidecar."""
+
+from typing import Final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+_SECONDS_BUCKETS: Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.5,
+    5,
+)
+# Routes and organisations come from the policy, which bounds the labels.
+_ROUTE: Final = 'route'
+
+
+class SidecarMetrics:
+    """Metrics of one sidecar, in a registry of their own."""
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.outcomes = Counter(
+            'mustardshunt_requests',
+            'Requests of callers by outcome.',
+            (_ROUTE, 'organisation', 'outcome'),
+            registry=registry,
+        )
+        self.seconds = Histogram(
+            'mustardshunt_request_seconds',
+            'Time from a request to its reply.',
+            (_ROUTE,),
+            registry=registry,
+            buckets=_SECONDS_BUCKETS,
+        )
+        self.sends = Counter(
+            'mustardshunt_sends',
+            'Calls sent to a backend server beside a node, by outcome.',
+            ('service', 'outcome'),
+            registry=registry,
+        )
+        self.gate = Gauge(
+            'mustardshunt_gate',
+            'State of the gate of the backend server beside this node.',
+            ('figure',),
+            registry=registry,
+        )
+        self.policy_version = Gauge(
+            'mustardshunt_policy_version',
+            'Version of the policy in force.',
+            registry=registry,
+        )
+        self.members = Gauge(
+            'mustardshunt_members',
+            'Nodes that are known, and those that can be called.',
+            ('state',),
+            registry=registry,
+        )
+        self.platform_errors = Counter(
+            'mustardshunt_platform_errors',
+            'Calls to the platform that failed, by duty.',
+            ('duty',),
+            registry=registry,
+        )
+        self.link_losses = Counter(
+            'mustardshunt_link_losses',
+            'Links to other nodes that were lost.',
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/mustardshunt/sidecar/_node.py
@@ -0,0 +1,410 @@
+"""Wiring and life of one sidecar, readable from top to bottom."""
+
+import asyncio
+import random
+import secrets
+import signal
+from typing import Final
+
+from mustardshunt.caps import JOIN_SECONDS, CapBounds, CapShares
+from mustardshunt.observability import EventLog, make_event_log
+from mustardshunt.placement import (
+    Balancer,
+    Member,
+    RetryAllowance,
+    RetryBounds,
+    RouteSplit,
+)
+from mustardshunt.policy import PolicyRegistry, RequestLimits
+from mustardshunt.relay import BackendPool, HttpServer
+from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._control import (
+    HeartbeatHandler,
+    MetricsHandler,
+    ReadyHandler,
+    ServerCalls,
+)
+from mustardshunt.sidecar._entry import Entry
+from mustardshunt.sidecar._lifecycle import SidecarLifecycle
+from mustardshunt.sidecar._metrics import SidecarMetrics
+from mustardshunt.sidecar._peer_link import LinkTable, PeerLink
+from mustardshunt.sidecar._peer_server import PeerServer, PolicyExchange
+from mustardshunt.sidecar._ports import (
+    HeaderDialect,
+    MemberDirectory,
+    OperatorSource,
+)
+from mustardshunt.sidecar._sender import CallSender, LocalSession
+from mustardshunt.sidecar._settings import SidecarSettings
+from mustardshunt.sidecar._sync import Dependency, MemberSync, OperatorSync
+from mustardshunt.sidecar._view import DeploymentView, ViewParts
+from mustardshunt.upstream import ServerPhase, make_backend_gate
+
+TICK_SECONDS: Final = 0.02
+REVIEW_SECONDS: Final = 0.1
+# Callers notice within two readiness checks, a second apart, that the node
+# is stopping; until then they open connections.
+DRAIN_SECONDS: Final = 2.6
+# Kept free of the grace for the end of the process itself.
+END_SECONDS: Final = 0.3
+_STOP_CHECK_SECONDS: Final = 0.05
+# A service that the backend server has not called for this long is no longer
+# a dependency of it.
+DEPENDENCY_SECONDS: Final = 5.0
+
+
+class LoopClock:
+    """The event loop's clock, on which its timers run too."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+
+    def now(self) -> float:
+        """Return seconds that never go back."""
+        return self._loop.time()
+
+
+class PlatformAdapter:
+    """The platform's side of a sidecar.
+
+    Parameters
+    ----------
+    dialect : HeaderDialect
+        Headers of requests and answers.
+    calls : ServerCalls
+        Calls of the backend server.
+    operators : OperatorSource
+        What operators declare.
+    directory : MemberDirectory
+        Where nodes find each other.
+    """
+
+    def __init__(
+        self,
+        dialect: HeaderDialect,
+        calls: ServerCalls,
+        operators: OperatorSource,
+        directory: MemberDirectory,
+    ) -> None:
+        self.dialect = dialect
+        self.calls = calls
+        self.operators = operators
+        self.directory = directory
+
+
+class Sidecar:
+    """One node: callers on one side, its backend server on the other.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+    adapter : PlatformAdapter
+        The platform.
+    log : EventLog
+        Takes decisions and changes.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        adapter: PlatformAdapter,
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._log = log
+        self._clock = LoopClock()
+        self._metrics = SidecarMetrics()
+        self._lifecycle = SidecarLifecycle()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop_asked = asyncio.Event()
+        node = settings.node
+        incarnation = f'{node.name}-{secrets.token_hex(6)}'
+        self._own = Member(
+            node.name,
+            incarnation,
+            node.service,
+            node.data_centre,
+            settings.listen.peers,
+        )
+        source = random.Random(incarnation)
+        self._registry = PolicyRegistry()
+        self._balancer = Balancer(node.name, node.data_centre, source)
+        split = RouteSplit(source)
+        retries = RetryAllowance(_retry_bounds(settings))
+        caps = CapShares(
+            CapBounds(settings.bounds.cap_overage, settings.bounds.cap_slack),
+            starts_full=node.first_start,
+            usable_from=self._clock.now()
+            + (0.0 if node.first_start else JOIN_SECONDS),
+        )
+        self._pool = BackendPool(
+            node.backend_server,
+            RequestLimits().max_body_bytes,
+            self._lose_server,
+        )
+        self._callee = Callee(
+            node.service,
+            incarnation,
+            make_backend_gate(settings.platform.heartbeat),
+            self._pool,
+            adapter.dialect,
+            self._registry,
+            log,
+            self._clock,
+        )
+        self._view = DeploymentView(
+            self._own,
+            ViewParts(
+                self._registry,
+                self._balancer,
+                split,
+                retries,
+                caps,
+                self._callee,
+            ),
+            adapter.operators,
+            log,
+            self._clock,
+            self._begin_service,
+        )
+        self._links = LinkTable(self._open_link)
+        self._operator_sync = OperatorSync(
+            adapter.operators,
+            self._view.take_news,
+            source,
+            Dependency('operators', log, self._metrics),
+        )
+        self._member_sync = MemberSync(
+            adapter.directory,
+            self._own,
+            self._view.take_members,
+            source,
+            Dependency('members', log, self._metrics),
+        )
+        self._view.connect(self._operator_sync, self._links)
+        local = LocalSession(node.name, self._callee, self._view)
+        self._entry = Entry(
+            node.service,
+            self._registry,
+            self._balancer,
+            split,
+            retries,
+            caps,
+            CallSender(node.name, local, self._links),
+            adapter.dialect,
+            log,
+            self._metrics,
+            self._clock,
+        )
+        self._local = local
+        self._callers = HttpServer(self._entry, self._limits)
+        self._ready = HttpServer(ReadyHandler(self._lifecycle), RequestLimits)
+        self._control = HttpServer(
+            HeartbeatHandler(adapter.calls, self._callee),
+            RequestLimits,
+        )
+        self._metrics_server = HttpServer(
+            MetricsHandler(self._metrics, self._refresh_metrics),
+            RequestLimits,
+        )
+        self._peers = PeerServer(
+            self._callee,
+            PolicyExchange(self._view.revision, self._view.document),
+            self._view.peer_document,
+            log,
+        )
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop and all requests are answered."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        self._log.record(
+            'start',
+            self._clock.now(),
+            incarnation=self._own.incarnation,
+            service=self._own.service,
+            data_centre=self._own.data_centre,
+            first_start=self._settings.node.first_start,
+        )
+        await self._listen()
+        self._view.take_members({self._own.name: self._own})
+        self._callee.attach(self._local)
+        self._start_duties()
+        try:
+            await self._stop_asked.wait()
+            await self._drain()
+        finally:
+            self._close()
+
+    async def _listen(self) -> None:
+        listen = self._settings.listen
+        await self._control.listen(listen.control)
+        await self._peers.listen(listen.peers)
+        await self._ready.listen(listen.ready)
+        await self._callers.listen(listen.callers)
+        await self._metrics_server.listen(listen.metrics)
+
+    def _start_duties(self) -> None:
+        duties = (
+            ('operators', self._operator_sync.run()),
+            ('operator nudges', self._operator_sync.run_nudges()),
+            ('members', self._member_sync.run()),
+            ('registration', self._member_sync.run_registration()),
+            ('tick', self._run_ticks()),
+        )
+        for name, duty in duties:
+            task = asyncio.create_task(duty, name=name)
+            task.add_done_callback(self._note_end)
+            self._tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        # A duty never ends by itself; without it the node would go on with
+        # what it knows for ever.
+        self._log.record(
+            'duty-failed',
+            self._clock.now(),
+            duty=task.get_name(),
+            error=repr(task.exception()),
+        )
+        self._stop_asked.set()
+
+    async def _run_ticks(self) -> None:
+        reviewed_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self._callee.tick()
+            now = self._clock.now()
+            if now - reviewed_at >= REVIEW_SECONDS:
+                reviewed_at = now
+                self._callee.gate.review(now)
+                self._callee.dependency_cutoff = self._dependency_cutoff(now)
+                self._log.flush()
+
+    def _dependency_cutoff(self, now: float) -> float:
+        lowest = float('inf')
+        for service, called_at in list(self._entry.called_at.items()):
+            if now - called_at > DEPENDENCY_SECONDS:
+                del self._entry.called_at[service]
+                continue
+            views = self._balancer.views(service)
+            if views:
+                mean = sum(view.cutoff for view in views) / len(views)
+                lowest = min(lowest, mean)
+        return lowest
+
+    async def _drain(self) -> None:
+        asked_at = self._clock.now()
+        self._lifecycle.drain()
+        self._log.record('stop', asked_at, in_flight=self._callee.in_flight())
+        self._callers.is_closing = True
+        self._callee.is_leaving = True
+        self._callee.show_now()
+        server_has_left = self._callee.gate.presence.phase in {
+            ServerPhase.GONE,
+            ServerPhase.DRAINING,
+        }
+        latest = asked_at + self._settings.bounds.grace - END_SECONDS
+        while self._clock.now() < min(asked_at + DRAIN_SECONDS, latest):
+            await asyncio.sleep(_STOP_CHECK_SECONDS)
+        self._lifecycle.leave()
+        self._callers.stop_accepting()
+        self._callers.close_idle()
+        while self._clock.now() < latest:
+            if not self._callers.busy() and not self._callee.in_flight():
+                break
+            await asyncio.sleep(_STOP_CHECK_SECONDS)
+            self._callers.close_idle()
+        if server_has_left:
+            await self._remove_entry(latest)
+
+    async def _remove_entry(self, latest: float) -> None:
+        try:
+            async with asyncio.timeout_at(latest):
+                await self._member_sync.leave()
+        except TimeoutError:
+            self._log.record('entry-not-removed', self._clock.now())
+
+    def _close(self) -> None:
+        self._lifecycle.stop()
+        for task in self._tasks:
+            task.cancel()
+        self._callers.close()
+        self._ready.close()
+        self._control.close()
+        self._metrics_server.close()
+        self._peers.close()
+        self._links.close()
+        self._pool.close()
+        self._log.record('stopped', self._clock.now())
+        self._log.flush()
+
+    def _begin_service(self) -> None:
+        in_force = self._registry.in_force
+        if in_force is not None:
+            self._metrics.policy_version.set(in_force.policy.version)
+        if self._lifecycle.state == 'starting':
+            self._lifecycle.serve()
+
+    def _limits(self) -> RequestLimits:
+        in_force = self._registry.in_force
+        return RequestLimits() if in_force is None else in_force.policy.limits
+
+    def _open_link(self, member: Member) -> PeerLink:
+        return PeerLink(
+            member,
+            self._own.incarnation,
+            self._view,
+            self._log,
+            self._metrics,
+        )
+
+    def _lose_server(self) -> None:
+        self._callee.lose_server()
+
+    def _note_reload(self) -> None:
+        # All settings are addresses and names that hold for the whole run.
+        self._log.record('reload', self._clock.now(), outcome='no change')
+
+    def _refresh_metrics(self) -> None:
+        view = self._callee.view()
+        gate = self._metrics.gate
+        gate.labels('in_flight').set(view.in_flight)
+        gate.labels('limit').set(view.limit)
+        gate.labels('cutoff').set(view.cutoff)
+        gate.labels('is_cold').set(view.is_cold)
+        gate.labels('is_open').set(self._callee.gate.is_open())
+        gate.labels('connections_opened').set(self._pool.opened)
+        known = self._member_sync.by_name
+        self._metrics.members.labels('known').set(len(known))
+
+
+def _retry_bounds(settings: SidecarSettings) -> RetryBounds:
+    bounds = settings.bounds
+    return RetryBounds(
+        bounds.retry_ratio,
+        bounds.retry_window,
+        bounds.retry_minimum,
+    )
+
+
+async def run_sidecar(
+    settings: SidecarSettings,
+    adapter: PlatformAdapter,
+) -> None:
+    """Run a sidecar until it is asked to stop.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+    adapter : PlatformAdapter
+        The platform.
+    """
+    log = make_event_log(settings.node.name, settings.node.log_level)
+    await Sidecar(settings, adapter, log).run()
--- /dev/null
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -0,0 +1,308 @@
+"""Link to another node, over which this node sends calls: one task each."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, Protocol, TypeAlias
+
+from mustardshunt.base import Reason
+from mustardshunt.observability import EventLog
+from mustardshunt.placement import Member
+from mustardshunt.relay import (
+    Answered,
+    Call,
+    Cancel,
+    FateAsk,
+    Frame,
+    FrameError,
+    FrameStream,
+    Hello,
+    Lost,
+    NotRun,
+    Ping,
+    PolicyAsk,
+    PolicyDocument,
+    Pong,
+    State,
+    dial,
+)
+from mustardshunt.sidecar._metrics import SidecarMetrics
+
+# Pauses between attempts to reach a node that does not answer.
+FIRST_PAUSE: Final = 0.1
+LONGEST_PAUSE: Final = 1.0
+# A link that is silent for this long while calls wait is replaced: a usual
+# answer of any other call would have arrived meanwhile.
+WAITING_SILENCE: Final = 1.0
+WAITING_PING: Final = 0.35
+# The same for a link without waiting calls.
+IDLE_SILENCE: Final = 2.5
+IDLE_PING: Final = 1.2
+CHECK_SECONDS: Final = 0.2
+# Calls on a lost link wait this long for the new one to tell their fate.
+FATE_SECONDS: Final = 1.2
+
+CallResult: TypeAlias = Answered | NotRun | Lost
+
+
+class PeerEvents(Protocol):
+    """Takes what a peer tells."""
+
+    def peer_state(self, name: str, state: State) -> None:
+        """Take the state of a peer's backend server."""
+        ...
+
+    def peer_lost(self, name: str) -> None:
+        """Note that a peer cannot be called."""
+        ...
+
+    def peer_revision(self, name: str, revision: int) -> None:
+        """Take the newest change that a peer knows."""
+        ...
+
+    def peer_document(self, document: bytes) -> None:
+        """Take the policy in force at a peer."""
+        ...
+
+    def revision(self) -> int:
+        """Return the newest change that this node knows."""
+        ...
+
+
+class PeerLink:
+    """Sends calls to one node and waits for their results.
+
+    Parameters
+    ----------
+    member : Member
+        Node at the other end.
+    incarnation : str
+        Run of this node.
+    events : PeerEvents
+        Takes what the peer tells.
+    log : EventLog
+        Takes losses and returns of the link.
+    metrics : SidecarMetrics
+        Counts losses.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        incarnation: str,
+        events: PeerEvents,
+        log: EventLog,
+        metrics: SidecarMetrics,
+    ) -> None:
+        self.member = member
+        self._incarnation = incarnation
+        self._events = events
+        self._log = log
+        self._metrics = metrics
+        self._stream: FrameStream | None = None
+        self._links = 0
+        self._peer_incarnation = ''
+        self._waiting: dict[int, asyncio.Future[CallResult]] = {}
+        self._pause = FIRST_PAUSE
+        self._pinged_at = 0.0
+        self._loop = asyncio.get_running_loop()
+
+    def call(self, call: Call) -> asyncio.Future[CallResult]:
+        """Send a call; the future takes its result."""
+        result: asyncio.Future[CallResult] = self._loop.create_future()
+        stream = self._stream
+        if stream is None or not stream.is_open:
+            result.set_result(
+                NotRun(call.number, Reason.LINK_LOST.value, 0, -1)
+            )
+            return result
+        self._waiting[call.number] = result
+        stream.send(call)
+        return result
+
+    def cancel(self, number: int) -> None:
+        """Stop waiting for a call."""
+        if self._waiting.pop(number, None) is not None and self._stream:
+            self._stream.send(Cancel(number))
+
+    def ask_policy(self, above: int) -> None:
+        """Ask the peer for its policy."""
+        if self._stream is not None:
+            self._stream.send(PolicyAsk(above))
+
+    async def run(self) -> None:
+        """Keep the link open until cancelled."""
+        try:
+            while True:
+                await self._run_once()
+                await asyncio.sleep(self._pause)
+        finally:
+            self._fail_all('node is gone')
+
+    async def _run_once(self) -> None:
+        try:
+            stream = await dial(self.member.address)
+        except ConnectionRefusedError:
+            # Nobody listens: the process that had the calls has ended.
+            self._fail_all('process has ended')
+            self._slow_down()
+            return
+        except (OSError, TimeoutError):
+            self._fail_all('node is out of reach')
+            self._slow_down()
+            return
+        self._links += 1
+        stream.send(Hello(self._incarnation, self._links))
+        if self._waiting:
+            stream.send(FateAsk(tuple(self._waiting)))
+        keeper = self._loop.create_task(self._keep(stream), name='link keeper')
+        try:
+            await self._read(stream)
+        finally:
+            keeper.cancel()
+            self._lose(stream)
+
+    async def _read(self, stream: FrameStream) -> None:
+        try:
+            async for frame in stream.frames():
+                self._handle(frame, stream)
+        except FrameError as error:
+            self._log.record(
+                'link-invalid',
+                self._loop.time(),
+                peer=self.member.name,
+                error=error.message,
+            )
+
+    def _handle(self, frame: Frame, stream: FrameStream) -> None:
+        if isinstance(frame, Answered | NotRun | Lost):
+            waiting = self._waiting.pop(frame.number, None)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(frame)
+            return
+        if isinstance(frame, State):
+            self._take_state(frame, stream)
+            return
+        if isinstance(frame, Pong):
+            self._events.peer_revision(self.member.name, frame.revision)
+            return
+        if isinstance(frame, PolicyDocument):
+            self._events.peer_document(frame.document)
+
+    def _take_state(self, state: State, stream: FrameStream) -> None:
+        if self._stream is not stream:
+            if state.incarnation != self._peer_incarnation:
+                # The run that had the calls has ended.
+                self._fail_all('process has ended')
+            self._peer_incarnation = state.incarnation
+            self._stream = stream
+            self._pause = FIRST_PAUSE
+            self._log.record(
+                'link-open',
+                self._loop.time(),
+                peer=self.member.name,
+                incarnation=state.incarnation,
+                link=self._links,
+            )
+        self._events.peer_state(self.member.name, state)
+        self._events.peer_revision(self.member.name, state.revision)
+
+    async def _keep(self, stream: FrameStream) -> None:
+        opened_at = self._loop.time()
+        while stream.is_open:
+            await asyncio.sleep(CHECK_SECONDS)
+            now = self._loop.time()
+            silent = now - max(stream.heard_at, opened_at)
+            has_calls = bool(self._waiting)
+            limit = WAITING_SILENCE if has_calls else IDLE_SILENCE
+            if silent > limit:
+                self._log.record(
+                    'link-silent',
+                    now,
+                    peer=self.member.name,
+                    silent_for=round(silent, 3),
+                    waiting=len(self._waiting),
+                )
+                stream.abort()
+                return
+            pause = WAITING_PING if has_calls else IDLE_PING
+            if silent > pause and now - self._pinged_at > pause:
+                self._pinged_at = now
+                stream.send(Ping(self._events.revision()))
+
+    def _lose(self, stream: FrameStream) -> None:
+        stream.abort()
+        if self._stream is not stream:
+            self._slow_down()
+            return
+        self._stream = None
+        self._metrics.link_losses.inc()
+        self._events.peer_lost(self.member.name)
+        self._log.record(
+            'link-lost',
+            self._loop.time(),
+            peer=self.member.name,
+            waiting=len(self._waiting),
+        )
+        for number, waiting in list(self._waiting.items()):
+            self._loop.call_later(FATE_SECONDS, self._expire, number, waiting)
+
+    def _expire(
+        self,
+        number: int,
+        waiting: asyncio.Future[CallResult],
+    ) -> None:
+        if self._waiting.get(number) is waiting and self._stream is None:
+            del self._waiting[number]
+            _settle(waiting, Lost(number, 'link is lost'))
+
+    def _fail_all(self, reason: str) -> None:
+        for number, waiting in list(self._waiting.items()):
+            _settle(waiting, Lost(number, reason))
+        self._waiting.clear()
+
+    def _slow_down(self) -> None:
+        self._pause = min(LONGEST_PAUSE, self._pause * 2)
+
+
+class LinkTable:
+    """Links to all nodes that are known, by the name of the node.
+
+    Parameters
+    ----------
+    open_link : callable
+        Makes the link to a member.
+    """
+
+    def __init__(self, open_link: Callable[[Member], PeerLink]) -> None:
+        self._open_link = open_link
+        self._link_by_name: dict[str, PeerLink] = {}
+        self._task_by_name: dict[str, asyncio.Task[None]] = {}
+
+    def get(self, name: str) -> PeerLink | None:
+        """Return the link to a node."""
+        return self._link_by_name.get(name)
+
+    def set_members(self, members: dict[str, Member]) -> None:
+        """Open links to new nodes and close those to former ones."""
+        for name, link in list(self._link_by_name.items()):
+            if members.get(name) != link.member:
+                del self._link_by_name[name]
+                self._task_by_name.pop(name).cancel()
+        for name, member in members.items():
+            if name in self._link_by_name:
+                continue
+            link = self._open_link(member)
+            self._link_by_name[name] = link
+            self._task_by_name[name] = asyncio.create_task(
+                link.run(),
+                name=f'link to {name}',
+            )
+
+    def close(self) -> None:
+        """Close all links."""
+        self.set_members({})
+
+
+def _settle(waiting: asyncio.Future[CallResult], result: CallResult) -> None:
+    if not waiting.done():
+        waiting.set_result(result)
--- /dev/null
+++ b/mustardshunt/sidecar/_sender.py
@@ -0,0 +1,103 @@
+"""Sends calls to the own backend server or over links to other nodes."""
+
+import asyncio
+
+from mustardshunt.base import Reason
+from mustardshunt.relay import Answered, Call, Lost, NotRun, State
+from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._peer_link import CallResult, LinkTable, PeerEvents
+from mustardshunt.upstream import Ticket
+
+
+class LocalSession:
+    """Calls of this node to the backend server beside it.
+
+    Parameters
+    ----------
+    name : str
+        Name of this node.
+    callee : Callee
+        Runs the calls.
+    events : PeerEvents
+        Takes the state of the backend server.
+    """
+
+    def __init__(self, name: str, callee: Callee, events: PeerEvents) -> None:
+        self._name = name
+        self._callee = callee
+        self._events = events
+        self._waiting: dict[int, asyncio.Future[CallResult]] = {}
+        self._ticket_by_number: dict[int, Ticket] = {}
+
+    def call(self, call: Call) -> asyncio.Future[CallResult]:
+        """Start a call; the future takes its result."""
+        loop = asyncio.get_running_loop()
+        result: asyncio.Future[CallResult] = loop.create_future()
+        self._waiting[call.number] = result
+        ticket = self._callee.accept(call, self)
+        if ticket is not None:
+            self._ticket_by_number[call.number] = ticket
+        return result
+
+    def cancel(self, number: int) -> None:
+        """Give a call up."""
+        self._waiting.pop(number, None)
+        ticket = self._ticket_by_number.pop(number, None)
+        if ticket is not None:
+            self._callee.cancel(ticket, 'the caller has gone')
+
+    def deliver(self, number: int, frame: Answered | NotRun | Lost) -> None:
+        """Take the result of a call."""
+        self._ticket_by_number.pop(number, None)
+        waiting = self._waiting.pop(number, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(frame)
+
+    def show(self, state: State) -> None:
+        """Take a new state of the backend server."""
+        self._events.peer_state(self._name, state)
+
+
+class CallSender:
+    """Sends calls to members by name.
+
+    Parameters
+    ----------
+    name : str
+        Name of this node.
+    local : LocalSession
+        Takes the calls for this node's own backend server.
+    links : LinkTable
+        Links to the other nodes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        local: LocalSession,
+        links: LinkTable,
+    ) -> None:
+        self._name = name
+        self._local = local
+        self._links = links
+
+    def send(self, name: str, call: Call) -> asyncio.Future[CallResult]:
+        """Send a call to a member; the future takes its result."""
+        if name == self._name:
+            return self._local.call(call)
+        link = self._links.get(name)
+        if link is not None:
+            return link.call(call)
+        loop = asyncio.get_running_loop()
+        result: asyncio.Future[CallResult] = loop.create_future()
+        result.set_result(NotRun(call.number, Reason.LINK_LOST.value, 0, -1))
+        return result
+
+    def cancel(self, name: str, number: int) -> None:
+        """Stop waiting for a call."""
+        if name == self._name:
+            self._local.cancel(number)
+            return
+        link = self._links.get(name)
+        if link is not None:
+            link.cancel(number)
--- /dev/null
+++ b/mustardshunt/sidecar/_view.py
@@ -0,0 +1,207 @@
+"""What the node knows of the deployment, spread to the parts that use it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mustardshunt.base import Clock
+from mustardshunt.caps import CapShares
+from mustardshunt.observability import EventLog
+from mustardshunt.placement import (
+    Balancer,
+    Member,
+    RetryAllowance,
+    RouteSplit,
+)
+from mustardshunt.policy import Policy, PolicyRegistry
+from mustardshunt.relay import State
+from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._peer_link import LinkTable
+from mustardshunt.sidecar._ports import OperatorNews, OperatorSource
+from mustardshunt.sidecar._sync import OperatorSync
+from mustardshunt.upstream import GateView, ServerPhase
+
+
+@dataclass(frozen=True, slots=True)
+class ViewParts:
+    """The parts that use what the node knows.
+
+    Parameters
+    ----------
+    registry : PolicyRegistry
+        Policy in force.
+    balancer : Balancer
+        Members and their load.
+    split : RouteSplit
+        Division of routes.
+    retries : RetryAllowance
+        Bound on repeats.
+    caps : CapShares
+        Rates of organisations.
+    callee : Callee
+        Calls to the own backend server.
+    """
+
+    registry: PolicyRegistry
+    balancer: Balancer
+    split: RouteSplit
+    retries: RetryAllowance
+    caps: CapShares
+    callee: Callee
+
+
+class DeploymentView:
+    """Takes news of operators and peers in.
+
+    Parameters
+    ----------
+    own : Member
+        This node.
+    parts : ViewParts
+        The parts that use what the node knows.
+    source : OperatorSource
+        Reads the policies that peers pass on.
+    log : EventLog
+        Takes the changes.
+    clock : Clock
+        Source of the time.
+    on_policy : callable
+        Called when a policy comes into force.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        parts: ViewParts,
+        source: OperatorSource,
+        log: EventLog,
+        clock: Clock,
+        on_policy: Callable[[], None],
+    ) -> None:
+        self._own = own
+        self._parts = parts
+        self._source = source
+        self._log = log
+        self._clock = clock
+        self._on_policy = on_policy
+        self._document = b''
+        self._revision = -1
+        self._sync: OperatorSync | None = None
+        self._links: LinkTable | None = None
+
+    def connect(self, sync: OperatorSync, links: LinkTable) -> None:
+        """Take the parts that are made after this one."""
+        self._sync = sync
+        self._links = links
+
+    def revision(self) -> int:
+        """Return the newest change of operators that this node knows."""
+        return self._revision
+
+    def document(self) -> tuple[int, bytes]:
+        """Return the version and the text of the policy in force."""
+        return self._parts.registry.version, self._document
+
+    def take_news(self, news: OperatorNews) -> None:
+        """Take what operators have declared."""
+        registry = self._parts.registry
+        if news.policy is not None:
+            self._put_in_force(news.policy, news.document)
+        before = registry.evacuated
+        for data_centre, revision in news.evacuated:
+            registry.evacuate(data_centre, revision)
+        for data_centre, revision in news.restored:
+            registry.restore(data_centre, revision)
+        if news.is_whole and news.revision >= self._revision:
+            named = {data_centre for data_centre, _ in news.evacuated}
+            for data_centre in registry.evacuated - named:
+                registry.restore(data_centre, news.revision)
+        if registry.evacuated != before:
+            self._spread_evacuation(news.revision)
+        if news.revision > self._revision:
+            self._revision = news.revision
+            self._parts.callee.revision = news.revision
+
+    def take_members(self, by_name: dict[str, Member]) -> None:
+        """Take the nodes of the deployment."""
+        parts = self._parts
+        parts.balancer.set_members(by_name.values())
+        parts.retries.set_nodes(len(by_name))
+        parts.caps.set_nodes(len(by_name))
+        others = {
+            name: member
+            for name, member in by_name.items()
+            if name != self._own.name and member.service
+        }
+        if self._links is not None:
+            self._links.set_members(others)
+        parts.callee.show_now()
+        self._log.record(
+            'members',
+            self._clock.now(),
+            count=len(by_name),
+        )
+
+    def peer_state(self, name: str, state: State) -> None:
+        """Take the state of a peer's backend server."""
+        view = GateView(
+            ServerPhase(state.phase),
+            state.is_cold,
+            state.in_flight,
+            state.limit,
+            state.cutoff,
+        )
+        self._parts.balancer.update(name, view)
+
+    def peer_lost(self, name: str) -> None:
+        """Note that a peer cannot be called."""
+        self._parts.balancer.disconnect(name)
+
+    def peer_revision(self, name: str, revision: int) -> None:
+        """Take the newest change that a peer knows."""
+        if revision <= self._revision or self._sync is None:
+            return
+        self._sync.nudge()
+        link = None if self._links is None else self._links.get(name)
+        if link is not None:
+            link.ask_policy(self._parts.registry.version)
+
+    def peer_document(self, document: bytes) -> None:
+        """Take the policy in force at a peer."""
+        policy = self._source.parse(document)
+        if policy is not None:
+            self._put_in_force(policy, document)
+
+    def _put_in_force(self, policy: Policy, document: bytes) -> None:
+        parts = self._parts
+        if not parts.registry.accept(policy):
+            return
+        now = self._clock.now()
+        self._document = document
+        parts.split.clear()
+        parts.caps.set_caps(policy.organisation_by_name, now)
+        parts.caps.end_start()
+        gate = parts.callee.gate
+        gate.set_service(policy.service_by_name.get(self._own.service))
+        in_force = parts.registry.in_force
+        if in_force is not None:
+            gate.cutoff.set_positions(len(in_force.ranks))
+        self._log.record(
+            'policy',
+            now,
+            version=policy.version,
+            routes=len(policy.route_by_name),
+            organisations=len(policy.organisation_by_name),
+        )
+        self._on_policy()
+        parts.callee.show_now()
+
+    def _spread_evacuation(self, revision: int) -> None:
+        evacuated = self._parts.registry.evacuated
+        self._parts.balancer.set_evacuated(evacuated)
+        self._parts.callee.set_evacuated(self._own.data_centre in evacuated)
+        self._log.record(
+            'evacuation',
+            self._clock.now(),
+            data_centres=sorted(evacuated),
+            revision=revision,
+        )
--- a/mustardshunt/transport/_http.py
+++ b/mustardshunt/transport/_http.py
@@ -54,6 +54,7 @@
     Reason.RATE_EXCEEDED: 429,
     Reason.RATE_UNAVAILABLE: 503,
     Reason.OVERLOADED: 503,
+    Reason.REJECTED: 503,
     Reason.DRAINING: 503,
     Reason.NO_BACKEND_SERVER: 503,
     Reason.DEADLINE_EXCEEDED: 504,
--- /dev/null
+++ b/mustardshunt/upstream/_events.py
@@ -0,0 +1,133 @@
+"""What the gate of a backend server takes in and tells."""
+
+import enum
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from mustardshunt.base import Reason
+
+
+class ServerPhase(enum.StrEnum):
+    """Where a backend server is in its life, as far as its node knows."""
+
+    UNKNOWN = 'unknown'
+    READY = 'ready'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReport:
+    """A heartbeat of a backend server.
+
+    Parameters
+    ----------
+    instance : str
+        Names the run of the backend server.
+    started_at : int or None
+        Start of that run in milliseconds of its own clock.
+    sequence : int
+        Rises with each heartbeat of a run.
+    phase : ServerPhase
+        ``READY`` or ``DRAINING``.
+    slots : int
+        Requests that it serves at the same time.
+    cold_for : float
+        Seconds for which it stays cold.
+    """
+
+    instance: str
+    started_at: int | None
+    sequence: int
+    phase: ServerPhase
+    slots: int
+    cold_for: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A call that asks for the backend server.
+
+    Parameters
+    ----------
+    key : hashable
+        Identity of the call.
+    position : int
+        Position of its rank, 0 is the most important.
+    is_continuation : bool
+        Whether a request that already runs needs the call.
+    organisation : str
+        Organisation for which it runs.
+    latest_start : float
+        Time after which a start no longer serves its caller.
+    """
+
+    key: Hashable
+    position: int
+    is_continuation: bool
+    organisation: str
+    latest_start: float
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """A waiting call that is turned away without having run.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The call.
+    reason : Reason
+        Why.
+    """
+
+    ticket: Ticket
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class GateChange:
+    """Waiting calls that may start now, and those turned away.
+
+    Parameters
+    ----------
+    started : tuple of Ticket
+        To be sent to the backend server.
+    turned : tuple of Turned
+        To be refused.
+    """
+
+    started: tuple[Ticket, ...] = ()
+    turned: tuple[Turned, ...] = ()
+
+
+class Admission(enum.Enum):
+    """What becomes of a call that arrives."""
+
+    STARTED = 'started'
+    QUEUED = 'queued'
+
+
+@dataclass(frozen=True, slots=True)
+class GateView:
+    """What other nodes need to know of a backend server.
+
+    Parameters
+    ----------
+    phase : ServerPhase
+        Whether it takes calls.
+    is_cold : bool
+        Whether it is in its cold start.
+    in_flight : int
+        Calls that run or wait.
+    limit : int
+        Calls that may run at the same time.
+    cutoff : float
+        Positions below this are accepted.
+    """
+
+    phase: ServerPhase
+    is_cold: bool
+    in_flight: int
+    limit: int
+    cutoff: float
