--- a/mustardshunt/caps/__init__.py
+++ b/mustardshunt/caps/__init__.py
@@ -1,5 +1,10 @@
 """Rates and bursts of organisations over all nodes."""
 
-from mustardshunt.caps._shares import JOIN_SECONDS, CapBounds, CapShares
+from mustardshunt.caps._shares import (
+    JOIN_SECONDS,
+    CapBounds,
+    CapShares,
+    TokenAsk,
+)
 
-__all__ = ['JOIN_SECONDS', 'CapBounds', 'CapShares']
+__all__ = ['JOIN_SECONDS', 'CapBounds', 'CapShares', 'TokenAsk']
--- a/mustardshunt/observability/_event_log.py
+++ b/mustardshunt/observability/_event_log.py
@@ -74,14 +74,11 @@
 
     Parameters
     ----------
-    node : str
-        Name of the node, put on each line.
     writer : NonBlockingWriter
         Takes the lines.
     """
 
-    def __init__(self, node: str, writer: NonBlockingWriter) -> None:
-        self._node = node
+    def __init__(self, writer: NonBlockingWriter) -> None:
         self._writer = writer
         self._budget_by_kind: dict[str, _KindBudget] = {}
 
@@ -107,7 +104,7 @@
             LINES_AT_ONCE,
             budget.level + passed * LINES_PER_SECOND,
         )
-        if budget.level < 1.0:
+        if budget.level < 1:
             budget.left_out += 1
             return
         budget.level -= 1.0
@@ -132,13 +129,25 @@
         Lowest level that is written.
     """
     writer = NonBlockingWriter(sys.stdout.fileno())
+    sink = _JsonSink(node, writer)
+    logger.remove()
+    logger.add(sink, level=level, backtrace=False, diagnose=False)
+    return EventLog(writer)
+
+
+class _JsonSink:
+    """Sink of loguru that writes one JSON object for each line."""
 
-    def write_line(message: Any) -> None:  # noqa: WPS430 - the sink of loguru
+    def __init__(self, node: str, writer: NonBlockingWriter) -> None:
+        self._node = node
+        self._writer = writer
+
+    def write(self, message: Any) -> None:
         record = message.record
         line = {
             'time': record['time'].isoformat(timespec='milliseconds'),
             'level': record['level'].name,
-            'node': node,
+            'node': self._node,
             **record['extra'],
         }
         if 'kind' not in line:
@@ -147,8 +156,4 @@
         if record['exception'] is not None:
             line['error'] = repr(record['exception'].value)
         text = json.dumps(line, default=str, separators=(',', ':'))
-        writer.write(text.encode() + b'\n')
-
-    logger.remove()
-    logger.add(write_line, level=level, backtrace=False, diagnose=False)
-    return EventLog(node, writer)
+        self._writer.write(f'{text}\n'.encode())
--- a/mustardshunt/placement/__init__.py
+++ b/mustardshunt/placement/__init__.py
@@ -2,7 +2,11 @@
 
 from mustardshunt.placement._balancer import Balancer
 from mustardshunt.placement._members import Member, MemberLoad
-from mustardshunt.placement._retries import RetryAllowance, RetryBounds
+from mustardshunt.placement._retries import (
+    RetryAllowance,
+    RetryBounds,
+    RetryKind,
+)
 from mustardshunt.placement._split import RouteSplit
 
 __all__ = [
@@ -11,5 +15,6 @@
     'MemberLoad',
     'RetryAllowance',
     'RetryBounds',
+    'RetryKind',
     'RouteSplit',
 ]
--- a/mustardshunt/placement/_balancer.py
+++ b/mustardshunt/placement/_balancer.py
@@ -78,6 +78,17 @@
             return
         load.view = view
         load.is_connected = True
+        self.refresh(load, view.in_flight, view.cutoff)
+
+    def refresh(
+        self,
+        load: MemberLoad,
+        in_flight: int,
+        cutoff: float,
+    ) -> None:
+        """Take the load that a member tells with each result."""
+        load.in_flight = in_flight
+        load.cutoff = cutoff
         load.outstanding_at_view = load.outstanding
 
     def disconnect(self, name: str) -> None:
--- a/mustardshunt/placement/_members.py
+++ b/mustardshunt/placement/_members.py
@@ -43,10 +43,14 @@
         Last state that the member has told.
     is_connected : bool
         Whether calls can be sent to it.
+    in_flight : int
+        Calls at its backend server, as it told last.
+    cutoff : float
+        Positions of ranks below this are accepted, as it told last.
     outstanding : int
         Calls sent by this node and not answered.
     outstanding_at_view : int
-        The same when ``view`` arrived.
+        The same when ``in_flight`` arrived.
     slowness : float
         Smoothed latency relative to the other members of the service.
     failures : float
@@ -57,11 +61,11 @@
 
     member: Member
     view: GateView = field(
-        default_factory=lambda: GateView(
-            ServerPhase.UNKNOWN, False, 0, 1, 1.0
-        ),
+        default_factory=lambda: GateView(ServerPhase.UNKNOWN, False, 0, 1, 1.0),
     )
     is_connected: bool = False
+    in_flight: int = 0
+    cutoff: float = 1.0
     outstanding: int = 0
     outstanding_at_view: int = 0
     slowness: float = 1.0
@@ -71,5 +75,5 @@
     def load(self) -> float:
         """Return the estimated load of the backend server, 1 when full."""
         since = self.outstanding - self.outstanding_at_view
-        in_flight = max(self.view.in_flight + since, self.outstanding)
+        in_flight = max(self.in_flight + since, self.outstanding)
         return in_flight / max(1, self.view.limit)
--- a/mustardshunt/placement/_retries.py
+++ b/mustardshunt/placement/_retries.py
@@ -1,12 +1,28 @@
 """Bound on calls that are sent to a second backend server."""
 
+import enum
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final
 
-# The stated ratio is counted over all nodes and over windows that do not
-# line up with this node's; half of it leaves room for both.
-USED_RATIO: Final = 0.5
-USED_MINIMUM: Final = 0.35
+
+class RetryKind(enum.Enum):
+    """Whose repeats are counted together."""
+
+    REQUEST = 'request'
+    CONTINUATION = 'continuation'
+
+
+# Parts of the stated ratio that are used. A request that is repeated makes
+# its calls again, so repeats add up along a chain: those of the request and
+# of three calls come to 0.85 of the ratio, the rest is for windows that do
+# not line up with this node's.
+USED_RATIO_BY_KIND: Final = MappingProxyType({
+    RetryKind.REQUEST: 0.4,
+    RetryKind.CONTINUATION: 0.15,
+})
+# Part of the minimum that is used by each kind.
+USED_MINIMUM: Final = 0.12
 # Seconds of requests whose unused retries are kept.
 KEPT_SECONDS: Final = 2.0
 
@@ -38,7 +54,7 @@
 
 
 class RetryAllowance:
-    """This node's part of the repeats, by service.
+    """The part of the repeats that a node may make, by service.
 
     Each node repeats in proportion to the requests that it has sent itself,
     so the sum over all nodes keeps the bound without any messages.
@@ -52,45 +68,51 @@
     --------
     >>> allowance = RetryAllowance(RetryBounds(0.2, 10.0, 48))
     >>> allowance.set_nodes(48)
-    >>> allowance.take('s', now=0.0)
+    >>> kind = RetryKind.REQUEST
+    >>> allowance.take('s', kind, now=0.0)
     False
-    >>> for _ in range(10):
-    ...     allowance.deposit('s', now=1.0)
-    >>> allowance.take('s', now=1.0), allowance.take('s', now=1.0)
-    (True, False)
+    >>> for _ in range(13):
+    ...     allowance.deposit('s', kind, now=1.0)
+    >>> [allowance.take('s', kind, now=1.0) for _ in range(2)]
+    [True, False]
     """
 
     def __init__(self, bounds: RetryBounds) -> None:
         self._bounds = bounds
         self._base = 0.0
-        self._by_service: dict[str, _Account] = {}
+        self._accounts: dict[tuple[str, RetryKind], _Account] = {}
         self.set_nodes(1)
 
     def set_nodes(self, count: int) -> None:
         """Take the number of nodes that share the minimum."""
         self._base = self._bounds.minimum * USED_MINIMUM / max(1, count)
 
-    def deposit(self, service: str, now: float) -> None:
+    def deposit(self, service: str, kind: RetryKind, now: float) -> None:
         """Note a request that is sent to a service for the first time."""
-        account = self._account(service, now)
+        account = self._account(service, kind, now)
         account.per_second += 1.0 / KEPT_SECONDS
-        ratio = self._bounds.ratio * USED_RATIO
+        ratio = self._bounds.ratio * USED_RATIO_BY_KIND[kind]
         ceiling = self._base + ratio * account.per_second * KEPT_SECONDS
         account.level = min(ceiling, account.level + ratio)
 
-    def take(self, service: str, now: float) -> bool:
+    def take(self, service: str, kind: RetryKind, now: float) -> bool:
         """Take one repeat; False when none is left."""
-        account = self._account(service, now)
-        if account.level < 1.0:
+        account = self._account(service, kind, now)
+        if account.level < 1:
             return False
         account.level -= 1.0
         return True
 
-    def _account(self, service: str, now: float) -> _Account:
-        account = self._by_service.get(service)
+    def _account(
+        self,
+        service: str,
+        kind: RetryKind,
+        now: float,
+    ) -> _Account:
+        account = self._accounts.get((service, kind))
         if account is None:
             account = _Account(self._base, 0.0, now)
-            self._by_service[service] = account
+            self._accounts[service, kind] = account
         passed = now - account.updated_at
         if passed > 0:
             account.updated_at = now
--- a/mustardshunt/platform/__main__.py
+++ b/mustardshunt/platform/__main__.py
@@ -15,6 +15,7 @@
     StoreMemberDirectory,
     StoreOperatorSource,
 )
+from mustardshunt.relay import make_event_loop
 from mustardshunt.sidecar import (
     PlatformAdapter,
     SidecarSettings,
@@ -57,7 +58,8 @@
     except (OSError, SidecarSettingsError) as error:
         sys.stderr.write(f'{error}\n')
         return _EXIT_BAD_SETTINGS
-    asyncio.run(run_node(settings))
+    with asyncio.Runner(loop_factory=make_event_loop) as runner:
+        runner.run(run_node(settings))
     return 0
 
 
--- a/mustardshunt/platform/_server_calls.py
+++ b/mustardshunt/platform/_server_calls.py
@@ -1,8 +1,8 @@
 """Calls that a backend server makes to its node."""
 
 import json
-import urllib.parse
 from typing import Any, Final
+from urllib.parse import unquote
 
 from loguru import logger
 
@@ -87,5 +87,5 @@
     path = request.target.partition('?')[0]
     if request.method != method or not path.startswith(INSTANCES_PATH):
         return None
-    name = urllib.parse.unquote(path.removeprefix(INSTANCES_PATH))
+    name = unquote(path.removeprefix(INSTANCES_PATH))
     return name or None
--- a/mustardshunt/platform/_sources.py
+++ b/mustardshunt/platform/_sources.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable
+from operator import attrgetter
 
 from loguru import logger
 
@@ -95,8 +96,8 @@
     is_whole: bool,
 ) -> OperatorNews:
     document = b''
-    evacuated = []
-    restored = []
+    evacuated: list[tuple[str, int]] = []
+    restored: list[tuple[str, int]] = []
     for row in rows:
         if row.key == POLICY_KEY and not row.is_removed:
             document = row.content
@@ -122,7 +123,7 @@
 ) -> MemberNews:
     changed = []
     removed = []
-    for row in rows:
+    for row in sorted(rows, key=attrgetter('revision')):
         if row.is_removed:
             removed.append(row.key)
             continue
--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -23,9 +23,12 @@
     PolicyDocument,
     Pong,
     State,
+    TokensGiven,
+    TokensWanted,
     decode_frame,
     encode_frame,
 )
+from mustardshunt.relay._loop import make_event_loop
 from mustardshunt.relay._messages import (
     HOP_HEADERS,
     HttpReply,
@@ -65,8 +68,11 @@
     'RawHeaders',
     'RequestHandler',
     'State',
+    'TokensGiven',
+    'TokensWanted',
     'decode_frame',
     'dial',
     'encode_frame',
+    'make_event_loop',
     'render_headers',
 ]
--- a/mustardshunt/relay/_backend.py
+++ b/mustardshunt/relay/_backend.py
@@ -325,7 +325,8 @@
             self._send(self._job)
         while self._answer is not None:
             outcome = await self._answer
-            job, self._job = self._job, None
+            job = self._job
+            self._job = None
             self._answer = None
             is_reusable = self._can_be_reused(outcome)
             if is_reusable:
@@ -357,7 +358,8 @@
         return self._keep_alive > 0
 
     def _fail(self, kind: FailureKind, has_begun: bool) -> None:
-        job, self._job = self._job, None
+        job = self._job
+        self._job = None
         if job is not None:
             job.finish(BackendFailure(kind, has_begun))
 
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -36,6 +36,8 @@
 
     Parameters
     ----------
+    name : str
+        Name of the called node.
     incarnation : str
         Run of the called node.
     phase : str
@@ -48,16 +50,20 @@
         Calls that may run at the same time.
     cutoff : float
         Positions of ranks below this are accepted.
+    hops : int
+        Calls down the chain at which the cutoff arose.
     revision : int
         Newest operator change known at the node.
     """
 
+    name: str
     incarnation: str
     phase: str
     is_cold: bool
     in_flight: int
     limit: int
     cutoff: float
+    hops: int
     revision: int
 
 
@@ -149,7 +155,7 @@
     reason : str
         Why.
     in_flight : int
-        Calls at the backend server.
+        Calls at the backend server, -1 when that is not known.
     cutoff_percent : int
         The cutoff times 100.
     """
@@ -254,6 +260,38 @@
     document: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class TokensWanted:
+    """Asks for tokens of an organisation's rate.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation whose tokens are short.
+    wanted : int
+        Tokens that could be used soon.
+    """
+
+    organisation: str
+    wanted: int
+
+
+@dataclass(frozen=True, slots=True)
+class TokensGiven:
+    """Tokens that the sender has taken out of its own share.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation that they belong to.
+    amount : int
+        Tokens that the receiver may add to its own.
+    """
+
+    organisation: str
+    amount: int
+
+
 Frame: TypeAlias = (
     Hello
     | State
@@ -267,6 +305,8 @@
     | Pong
     | PolicyAsk
     | PolicyDocument
+    | TokensWanted
+    | TokensGiven
 )
 
 _FRAME_TYPES: Final[tuple[type[Any], ...]] = (
@@ -282,6 +322,8 @@
     Pong,
     PolicyAsk,
     PolicyDocument,
+    TokensWanted,
+    TokensGiven,
 )
 _TYPE_BY_NAME: Final = {
     'str': str,
@@ -359,16 +401,7 @@
     number = items[0]
     if not isinstance(number, int) or not 0 <= number < len(_FRAME_TYPES):
         raise FrameError(f'unknown frame type {number!r}')
-    types = _FIELD_TYPES[number]
-    content = items[1:]
-    if len(content) != len(types):
-        raise FrameError(f'{len(content)} fields, expected {len(types)}')
-    for index, expected in enumerate(types):
-        if expected is tuple:
-            content[index] = _whole_numbers(content[index])
-        elif not isinstance(content[index], expected):
-            raise FrameError(f'field {index} of frame type {number}')
-    frame: Frame = _FRAME_TYPES[number](*content)
+    frame: Frame = _FRAME_TYPES[number](*_check_fields(number, items[1:]))
     return frame
 
 
@@ -390,7 +423,7 @@
         frames = []
         start = 0
         while len(rest) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(rest, start)
+            length = _LENGTH.unpack_from(rest, start)[0]
             if length > MAX_FRAME_BYTES:
                 raise FrameError(f'a frame of {length} bytes')
             end = start + _LENGTH.size + length
@@ -402,6 +435,18 @@
         return frames
 
 
+def _check_fields(number: int, content: list[Any]) -> list[Any]:
+    types = _FIELD_TYPES[number]
+    if len(content) != len(types):
+        raise FrameError(f'{len(content)} fields, expected {len(types)}')
+    for index, expected in enumerate(types):
+        if expected is tuple:
+            content[index] = _whole_numbers(content[index])
+        elif not isinstance(content[index], expected):
+            raise FrameError(f'field {index} of frame type {number}')
+    return content
+
+
 def _whole_numbers(found: Any) -> tuple[int, ...]:
     if not isinstance(found, list):
         raise FrameError('expected an array of numbers')
--- a/mustardshunt/relay/_messages.py
+++ b/mustardshunt/relay/_messages.py
@@ -77,7 +77,7 @@
 
 
 def render_headers(raw_headers: RawHeaders, dropped: frozenset[bytes]) -> bytes:
-    """Return header lines without those that are not passed on.
+    r"""Return header lines without those that are not passed on.
 
     Parameters
     ----------
@@ -90,7 +90,7 @@
     --------
     >>> headers = ((b'A', b'1'), (b'Connection', b'B'), (b'b', b'2'))
     >>> render_headers(headers, HOP_HEADERS)
-    b'A: 1\\r\\n'
+    b'A: 1\r\n'
     """
     lines = []
     for name, text in raw_headers:
--- a/mustardshunt/relay/_server.py
+++ b/mustardshunt/relay/_server.py
@@ -40,11 +40,7 @@
         ...
 
 
-class ConnectionGone(Exception):  # noqa: N818 - an event, not an error
-    """The caller has closed its connection."""
-
-
-class BadRequest(Exception):  # noqa: N818 - becomes a reply
+class BadRequestError(Exception):
     """A request that is answered without being passed on.
 
     Parameters
@@ -250,7 +246,7 @@
     async def _run(self) -> None:
         try:
             await self._serve_requests()
-        except BadRequest as refusal:
+        except BadRequestError as refusal:
             self._write(HttpReply(refusal.status, b'', b''), is_last=True)
         except (ConnectionError, asyncio.CancelledError):
             # The caller has gone; the handler has been told by cancelling.
@@ -286,7 +282,7 @@
     async def _next_message(self) -> tuple[RawRequestMessage, StreamReader]:
         while not self._messages:
             if self._is_broken:
-                raise BadRequest(self._is_broken)
+                raise BadRequestError(self._is_broken)
             await self._wait()
         return self._messages.popleft()
 
@@ -299,13 +295,13 @@
             return b''
         length = message.headers.get('Content-Length', '0')
         if int(length) > self._server.limits().max_body_bytes:
-            raise BadRequest(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            raise BadRequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if message.headers.get('Expect') and self.transport is not None:
             self.transport.write(_CONTINUE)
         self._payload = payload
         while not payload.is_eof():
             if self._is_broken:
-                raise BadRequest(self._is_broken)
+                raise BadRequestError(self._is_broken)
             await self._wait()
         self._payload = None
         return payload.read_nowait(-1)
--- a/mustardshunt/relay/_streams.py
+++ b/mustardshunt/relay/_streams.py
@@ -36,9 +36,7 @@
         self._now = asyncio.get_running_loop().time
         connection = writer.get_extra_info('socket')
         if connection is not None:
-            connection.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
-            )
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @property
     def is_open(self) -> bool:
--- a/mustardshunt/sidecar/__init__.py
+++ b/mustardshunt/sidecar/__init__.py
@@ -1,7 +1,7 @@
 """A node of a deployment: relays calls beside one backend server."""
 
 from mustardshunt.sidecar._control import ServerCalls
-from mustardshunt.sidecar._node import PlatformAdapter, run_sidecar
+from mustardshunt.sidecar._node import PlatformAdapter, Sidecar, run_sidecar
 from mustardshunt.sidecar._ports import (
     AnswerFacts,
     CallerFacts,
@@ -32,6 +32,7 @@
     'PlatformAdapter',
     'PlatformError',
     'ServerCalls',
+    'Sidecar',
     'SidecarSettings',
     'SidecarSettingsError',
     'check_sidecar_settings',
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -1,11 +1,13 @@
 """The node beside the backend server: runs the calls of all nodes."""
 
-from typing import Any, Final, Protocol
+from dataclasses import replace
+from typing import Any, Final
 
 from aiohttp.http_parser import RawResponseMessage
 
 from mustardshunt.base import Clock, Reason
 from mustardshunt.observability import EventLog
+from mustardshunt.placement import Member
 from mustardshunt.policy import PolicyRegistry
 from mustardshunt.relay import (
     HOP_HEADERS,
@@ -18,15 +20,17 @@
     FailureKind,
     Lost,
     NotRun,
-    State,
     render_headers,
 )
+from mustardshunt.sidecar._dependencies import NO_DEPENDENCY
 from mustardshunt.sidecar._ports import HeaderDialect
+from mustardshunt.sidecar._state_board import ReplySink, StateBoard
 from mustardshunt.upstream import (
     Admission,
     BackendGate,
     GateChange,
     GateView,
+    ServerPhase,
     ServerReport,
     Ticket,
 )
@@ -35,23 +39,6 @@
 # The entry node gives up first; this only ends what it can no longer cancel.
 DEADLINE_GRACE: Final = 0.3
 _SUCCESS: Final = range(200, 300)
-# Changes of load are shown at most this often; other changes at once.
-SHOW_SECONDS: Final = 0.2
-# Changes of load below this part of the limit are not worth the bytes.
-SHOWN_LOAD_STEP: Final = 0.15
-SHOWN_CUTOFF_STEP: Final = 0.1
-
-
-class ReplySink(Protocol):
-    """Where the result of a call goes."""
-
-    def deliver(self, number: int, frame: Answered | NotRun | Lost) -> None:
-        """Take the result of a call."""
-        ...
-
-    def show(self, state: State) -> None:
-        """Take a new state of the backend server."""
-        ...
 
 
 class ServedCall:
@@ -101,10 +88,8 @@
 
     Parameters
     ----------
-    service : str
-        Service of the backend server.
-    incarnation : str
-        Run of this node.
+    own : Member
+        This node.
     gate : BackendGate
         Decides which calls pass.
     pool : BackendPool
@@ -121,8 +106,7 @@
 
     def __init__(
         self,
-        service: str,
-        incarnation: str,
+        own: Member,
         gate: BackendGate,
         pool: BackendPool,
         dialect: HeaderDialect,
@@ -130,31 +114,17 @@
         log: EventLog,
         clock: Clock,
     ) -> None:
-        self.service = service
+        self.service = own.service
         self.dialect = dialect
         self.gate = gate
-        self._incarnation = incarnation
+        self.board = StateBoard(own.name, own.incarnation)
         self._pool = pool
         self._registry = registry
         self._log = log
         self._clock = clock
         self._served_by_ticket: dict[Ticket, ServedCall] = {}
-        self._sinks: list[ReplySink] = []
-        self._shown: GateView | None = None
-        self._shown_at = 0.0
-        self.dependency_cutoff = float('inf')
+        self.dependency = NO_DEPENDENCY
         self.is_leaving = False
-        self.revision = 0
-
-    def attach(self, sink: ReplySink) -> None:
-        """Show a sink the state from now on."""
-        self._sinks.append(sink)
-        sink.show(self._state(self.view()))
-
-    def detach(self, sink: ReplySink) -> None:
-        """Show a sink nothing more."""
-        if sink in self._sinks:
-            self._sinks.remove(sink)
 
     def in_flight(self) -> int:
         """Return how many calls wait or run."""
@@ -286,7 +256,7 @@
         """Take the backend server out of service, or back."""
         now = self._clock.now()
         self._apply(self.gate.set_evacuated(is_evacuated, now))
-        self._show_if_changed(now)
+        self.board.show_if_changed(self.view(), now)
 
     def tick(self) -> None:
         """Turn late calls away, and show changes of state."""
@@ -300,22 +270,24 @@
         for ticket, _ in late:
             self.cancel(ticket, 'deadline')
         self._pool.sweep(now)
-        self._show_if_changed(now)
+        self.board.show_if_changed(self.view(), now)
 
     def view(self) -> GateView:
         """Return the state that other nodes see."""
         view = self.gate.view(self._clock.now())
-        cutoff = min(view.cutoff, self.dependency_cutoff)
-        phase = view.phase
+        if self.dependency.cutoff < view.cutoff:
+            view = replace(
+                view,
+                cutoff=self.dependency.cutoff,
+                hops=self.dependency.hops,
+            )
         if self.is_leaving and self.gate.is_open():
-            phase = type(phase).DRAINING
-        return GateView(
-            phase, view.is_cold, view.in_flight, view.limit, cutoff
-        )
+            view = replace(view, phase=ServerPhase.DRAINING)
+        return view
 
     def show_now(self) -> None:
         """Show the state to all nodes, whether it has changed or not."""
-        self._show(self.view(), self._clock.now())
+        self.board.show(self.view(), self._clock.now())
 
     def _judge(
         self,
@@ -352,7 +324,7 @@
             render_headers(answer.raw_headers, HOP_HEADERS),
             answer.body,
             self.in_flight(),
-            self._cutoff_percent(),
+            int(self.view().cutoff * 100),
         )
 
     def _log_loss(self, served: ServedCall, how: str) -> None:
@@ -369,7 +341,7 @@
             number,
             reason.value,
             self.in_flight(),
-            self._cutoff_percent(),
+            int(self.view().cutoff * 100),
         )
 
     def _refuse(self, call: Call, sink: ReplySink, reason: Reason) -> None:
@@ -402,51 +374,4 @@
 
     def _after_change(self, now: float) -> None:
         self._apply(self.gate.tick(now))
-        self._show_if_changed(now)
-
-    def _cutoff_percent(self) -> int:
-        cutoff = min(self.gate.cutoff.level, self.dependency_cutoff)
-        return int(cutoff * 100)
-
-    def _show_if_changed(self, now: float) -> None:
-        view = self.view()
-        shown = self._shown
-        if shown is None or _has_turned(shown, view):
-            self._show(view, now)
-            return
-        if now - self._shown_at >= SHOW_SECONDS and _has_moved(shown, view):
-            self._show(view, now)
-
-    def _show(self, view: GateView, now: float) -> None:
-        self._shown = view
-        self._shown_at = now
-        state = self._state(view)
-        for sink in list(self._sinks):
-            sink.show(state)
-
-    def _state(self, view: GateView) -> State:
-        return State(
-            self._incarnation,
-            view.phase.value,
-            view.is_cold,
-            view.in_flight,
-            view.limit,
-            view.cutoff,
-            self.revision,
-        )
-
-
-def _has_turned(shown: GateView, view: GateView) -> bool:
-    return (
-        shown.phase is not view.phase
-        or shown.is_cold != view.is_cold
-        or shown.limit != view.limit
-    )
-
-
-def _has_moved(shown: GateView, view: GateView) -> bool:
-    moved = abs(shown.in_flight - view.in_flight)
-    if moved > SHOWN_LOAD_STEP * view.limit:
-        return True
-    return abs(shown.cutoff - view.cutoff) >= SHOWN_CUTOFF_STEP
-
+        self.board.show_if_changed(self.view(), now)
--- a/mustardshunt/sidecar/_control.py
+++ b/mustardshunt/sidecar/_control.py
@@ -30,7 +30,7 @@
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer 200 when the node is ready, otherwise 503."""
         status = _OK if self._lifecycle.is_ready else _UNAVAILABLE
-        return HttpReply(status, b'', self._lifecycle.state.encode() + b'\n')
+        return HttpReply(status, b'', self._lifecycle.state.encode())
 
 
 class MetricsHandler:
--- a/mustardshunt/sidecar/_entry.py
+++ b/mustardshunt/sidecar/_entry.py
@@ -6,12 +6,12 @@
 from typing import Final, Protocol
 
 from mustardshunt.base import Clock, Reason
-from mustardshunt.caps import CapShares
 from mustardshunt.observability import EventLog
 from mustardshunt.placement import (
     Balancer,
     MemberLoad,
     RetryAllowance,
+    RetryKind,
     RouteSplit,
 )
 from mustardshunt.policy import PolicyInForce, PolicyRegistry, RoutePolicy
@@ -25,9 +25,11 @@
     NotRun,
     render_headers,
 )
+from mustardshunt.sidecar._dependencies import Dependencies
 from mustardshunt.sidecar._metrics import SidecarMetrics
 from mustardshunt.sidecar._peer_link import CallResult
 from mustardshunt.sidecar._ports import CallerFacts, HeaderDialect
+from mustardshunt.sidecar._token_desk import TokenDesk
 
 MS_PER_SECOND: Final = 1000.0
 # Part of the target latency for which a call may wait for a slot; a refusal
@@ -55,6 +57,7 @@
     Reason.DEADLINE_EXCEEDED: 504,
 }
 _UNAVAILABLE: Final = 503
+_PERCENT: Final = 100
 _SERVER_ERROR: Final = 500
 _GATEWAY_TIMEOUT: Final = 504
 
@@ -130,7 +133,7 @@
         Divides a route among services.
     retries : RetryAllowance
         Bounds repeats.
-    caps : CapShares
+    tokens : TokenDesk
         Bounds the rates of organisations.
     sender : Sender
         Sends calls.
@@ -144,14 +147,14 @@
         Source of the time.
     """
 
-    def __init__(  # noqa: WPS211 - the place where all decisions meet
+    def __init__(
         self,
         service: str,
         registry: PolicyRegistry,
         balancer: Balancer,
         split: RouteSplit,
         retries: RetryAllowance,
-        caps: CapShares,
+        tokens: TokenDesk,
         sender: Sender,
         dialect: HeaderDialect,
         log: EventLog,
@@ -163,7 +166,7 @@
         self._balancer = balancer
         self._split = split
         self._retries = retries
-        self._caps = caps
+        self._tokens = tokens
         self._sender = sender
         self._dialect = dialect
         self._log = log
@@ -172,9 +175,7 @@
         self._dropped = HOP_HEADERS | dialect.dropped
         self._next_number = 0
         self.is_stopped = False
-        # Services that the backend server beside this node has called, with
-        # the time of the last call.
-        self.called_at: dict[str, float] = {}
+        self.dependencies = Dependencies()
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Return the reply to a request."""
@@ -182,20 +183,21 @@
         facts = self._dialect.read_request(request)
         try:
             attempt = self._admit(request, facts, started_at)
-        except RefusedError as refusal:
-            return self._refuse(refusal, facts, '', '', started_at)
+        except RefusedError as error:
+            return self._refuse(error, facts, '', '', started_at)
         outcome = 'cancelled'
         try:
             async with asyncio.timeout_at(attempt.deadline):
                 reply = await self._serve(attempt)
             outcome = str(reply.status)
-            return reply
         except TimeoutError:
             outcome = Reason.DEADLINE_EXCEEDED.value
             refusal = RefusedError(Reason.DEADLINE_EXCEEDED)
         except RefusedError as error:
             outcome = error.reason.value
             refusal = error
+        else:
+            return reply
         finally:
             self._count(attempt, outcome)
         return self._refuse(
@@ -228,8 +230,8 @@
         is_continuation = route.is_open and facts.key is None
         service = self._split.choose(route)
         if is_continuation:
-            self.called_at[service] = now
-        attempt = _Attempt(
+            self.dependencies.note_call(service, now)
+        return _Attempt(
             request,
             facts,
             route,
@@ -241,14 +243,17 @@
             now,
             now + left,
         )
-        wait = self._caps.spend(organisation, now) if organisation else 0.0
-        if wait > 0:
-            raise RefusedError(Reason.RATE_EXCEEDED, wait)
-        return attempt
 
     async def _serve(self, attempt: _Attempt) -> HttpReply:
         progress = _Progress(tried=set())
-        self._retries.deposit(attempt.service, attempt.started_at)
+        await self._take_token(attempt)
+        self._retries.deposit(
+            attempt.service,
+            RetryKind.CONTINUATION
+            if attempt.is_continuation
+            else RetryKind.REQUEST,
+            attempt.started_at,
+        )
         try:
             answer = await self._try_members(attempt, progress)
         except RefusedError:
@@ -258,9 +263,23 @@
                 # An earlier attempt may have run, so "not run" is not true.
                 raise RefusedError(Reason.BACKEND_SERVER_LOST) from None
             else:
+                self._tokens.give_back(attempt.organisation)
                 raise
         return HttpReply(answer.status, answer.head, answer.body)
 
+    async def _take_token(self, attempt: _Attempt) -> None:
+        organisation = attempt.organisation
+        if not organisation:
+            return
+        patience = attempt.route.target_latency
+        if await self._tokens.take(organisation, patience):
+            return
+        pause = self._tokens.seconds_until_token(organisation)
+        raise RefusedError(
+            Reason.RATE_EXCEEDED,
+            max(SHORTEST_RETRY_AFTER, pause),
+        )
+
     async def _try_members(
         self,
         attempt: _Attempt,
@@ -282,10 +301,9 @@
         load = self._balancer.choose(attempt.service, progress.tried, now)
         if load is None:
             raise self._unavailable(attempt, progress.last_reason)
-        is_first = not progress.tried
-        if is_first and not attempt.is_continuation:
-            if attempt.position + random.random() >= load.view.cutoff:
-                raise self._unavailable(attempt, Reason.OVERLOADED)
+        is_new = not progress.tried and not attempt.is_continuation
+        if is_new and attempt.position + random.random() >= load.cutoff:
+            raise self._unavailable(attempt, Reason.OVERLOADED)
         progress.tried.add(load.member.name)
         return load
 
@@ -350,7 +368,10 @@
             outcome = result.reason
         elif isinstance(result, Lost):
             outcome = 'lost'
-        self._metrics.sends.labels(attempt.service, outcome).inc()
+        self._metrics.count_send(attempt.service, outcome)
+        if isinstance(result, Answered | NotRun) and result.in_flight >= 0:
+            cutoff = result.cutoff_percent / _PERCENT
+            self._balancer.refresh(load, result.in_flight, cutoff)
         self._balancer.finish(
             load,
             attempt.route.name,
@@ -367,6 +388,10 @@
     ) -> bool:
         if answer.status < _SERVER_ERROR or answer.status == _GATEWAY_TIMEOUT:
             return False
+        if attempt.is_continuation:
+            # The failure may come from further down the chain, where it was
+            # retried already.
+            return False
         progress.runs += 1
         progress.last_answer = answer
         return self._may_repeat(attempt, progress, 'failed')
@@ -387,7 +412,7 @@
         # The backend server itself turned it away, so another send counts
         # as a repeat at the service.
         now = self._clock.now()
-        if not self._retries.take(attempt.service, now):
+        if not self._take_retry(attempt, now):
             raise self._unavailable(attempt, reason)
 
     def _note_lost(
@@ -412,7 +437,7 @@
         if not route.is_idempotent or progress.runs >= route.max_attempts:
             return False
         others = self._balancer.choose(attempt.service, progress.tried, now)
-        if others is None or not self._retries.take(attempt.service, now):
+        if others is None or not self._take_retry(attempt, now):
             return False
         self._log.record(
             'sent-again',
@@ -424,6 +449,12 @@
         )
         return True
 
+    def _take_retry(self, attempt: _Attempt, now: float) -> bool:
+        kind = RetryKind.REQUEST
+        if attempt.is_continuation:
+            kind = RetryKind.CONTINUATION
+        return self._retries.take(attempt.service, kind, now)
+
     def _unavailable(self, attempt: _Attempt, reason: Reason) -> RefusedError:
         pause = attempt.route.target_latency * RETRY_AFTER
         pause *= 0.75 + random.random() / 2
@@ -452,19 +483,23 @@
             policy=self._registry.version,
         )
         if not route:
-            self._metrics.outcomes.labels('', '', refusal.reason.value).inc()
+            passed = now - started_at
+            reason = refusal.reason.value
+            self._metrics.count_request('', '', reason, passed)
         head = b''
         if refusal.retry_after > 0:
             head = b'Retry-After: %.3f\r\n' % refusal.retry_after
-        return HttpReply(status, head, refusal.reason.value.encode() + b'\n')
+        return HttpReply(status, head, refusal.reason.value.encode())
 
     def _count(self, attempt: _Attempt, outcome: str) -> None:
         route = attempt.route.name
-        self._metrics.outcomes.labels(
-            route, attempt.organisation, outcome
-        ).inc()
         passed = self._clock.now() - attempt.started_at
-        self._metrics.seconds.labels(route).observe(passed)
+        self._metrics.count_request(
+            route,
+            attempt.organisation,
+            outcome,
+            passed,
+        )
 
 
 def _identify(
--- a/mustardshunt/sidecar/_metrics.py
+++ b/mustardshunt/sidecar/_metrics.py
@@ -80,6 +80,36 @@
             registry=registry,
         )
 
+        # Looking a child up costs more than counting.
+        self._child_by_labels: dict[tuple[str, ...], Counter] = {}
+        self._seconds_by_route: dict[str, Histogram] = {}
+
+    def count_request(
+        self,
+        route: str,
+        organisation: str,
+        outcome: str,
+        seconds: float,
+    ) -> None:
+        """Count a request that has ended."""
+        self._child(self.outcomes, route, organisation, outcome).inc()
+        histogram = self._seconds_by_route.get(route)
+        if histogram is None:
+            histogram = self.seconds.labels(route)
+            self._seconds_by_route[route] = histogram
+        histogram.observe(seconds)
+
+    def count_send(self, service: str, outcome: str) -> None:
+        """Count a call that has ended."""
+        self._child(self.sends, service, outcome).inc()
+
+    def _child(self, counter: Counter, *labels: str) -> Counter:
+        child = self._child_by_labels.get(labels)
+        if child is None:
+            child = counter.labels(*labels)
+            self._child_by_labels[labels] = child
+        return child
+
     def render(self) -> bytes:
         """Return the metrics as text."""
         return generate_latest(self._registry)
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import signal
+from dataclasses import dataclass
 from typing import Final
 
 from mustardshunt.caps import JOIN_SECONDS, CapBounds, CapShares
@@ -28,7 +29,7 @@
 from mustardshunt.sidecar._lifecycle import SidecarLifecycle
 from mustardshunt.sidecar._metrics import SidecarMetrics
 from mustardshunt.sidecar._peer_link import LinkTable, PeerLink
-from mustardshunt.sidecar._peer_server import PeerServer, PolicyExchange
+from mustardshunt.sidecar._peer_server import PeerServer, PeerServices
 from mustardshunt.sidecar._ports import (
     HeaderDialect,
     MemberDirectory,
@@ -37,9 +38,11 @@
 from mustardshunt.sidecar._sender import CallSender, LocalSession
 from mustardshunt.sidecar._settings import SidecarSettings
 from mustardshunt.sidecar._sync import Dependency, MemberSync, OperatorSync
+from mustardshunt.sidecar._token_desk import TokenDesk
 from mustardshunt.sidecar._view import DeploymentView, ViewParts
 from mustardshunt.upstream import ServerPhase, make_backend_gate
 
+# Time between looks at the queue while calls wait in it.
 TICK_SECONDS: Final = 0.02
 REVIEW_SECONDS: Final = 0.1
 # Callers notice within two readiness checks, a second apart, that the node
@@ -48,9 +51,6 @@
 # Kept free of the grace for the end of the process itself.
 END_SECONDS: Final = 0.3
 _STOP_CHECK_SECONDS: Final = 0.05
-# A service that the backend server has not called for this long is no longer
-# a dependency of it.
-DEPENDENCY_SECONDS: Final = 5.0
 
 
 class LoopClock:
@@ -64,6 +64,7 @@
         return self._loop.time()
 
 
+@dataclass(frozen=True, slots=True)
 class PlatformAdapter:
     """The platform's side of a sidecar.
 
@@ -79,17 +80,10 @@
         Where nodes find each other.
     """
 
-    def __init__(
-        self,
-        dialect: HeaderDialect,
-        calls: ServerCalls,
-        operators: OperatorSource,
-        directory: MemberDirectory,
-    ) -> None:
-        self.dialect = dialect
-        self.calls = calls
-        self.operators = operators
-        self.directory = directory
+    dialect: HeaderDialect
+    calls: ServerCalls
+    operators: OperatorSource
+    directory: MemberDirectory
 
 
 class Sidecar:
@@ -133,11 +127,11 @@
         self._balancer = Balancer(node.name, node.data_centre, source)
         split = RouteSplit(source)
         retries = RetryAllowance(_retry_bounds(settings))
+        join_seconds = 0.0 if node.first_start else JOIN_SECONDS
         caps = CapShares(
             CapBounds(settings.bounds.cap_overage, settings.bounds.cap_slack),
             starts_full=node.first_start,
-            usable_from=self._clock.now()
-            + (0.0 if node.first_start else JOIN_SECONDS),
+            usable_from=self._clock.now() + join_seconds,
         )
         self._pool = BackendPool(
             node.backend_server,
@@ -145,8 +139,7 @@
             self._lose_server,
         )
         self._callee = Callee(
-            node.service,
-            incarnation,
+            self._own,
             make_backend_gate(settings.platform.heartbeat),
             self._pool,
             adapter.dialect,
@@ -183,7 +176,8 @@
             source,
             Dependency('members', log, self._metrics),
         )
-        self._view.connect(self._operator_sync, self._links)
+        tokens = TokenDesk(caps, self._view, self._clock)
+        self._view.connect(self._operator_sync, self._links, tokens)
         local = LocalSession(node.name, self._callee, self._view)
         self._entry = Entry(
             node.service,
@@ -191,7 +185,7 @@
             self._balancer,
             split,
             retries,
-            caps,
+            tokens,
             CallSender(node.name, local, self._links),
             adapter.dialect,
             log,
@@ -211,16 +205,19 @@
         )
         self._peers = PeerServer(
             self._callee,
-            PolicyExchange(self._view.revision, self._view.document),
-            self._view.peer_document,
+            PeerServices(
+                self._view.revision,
+                self._view.document,
+                tokens.give,
+            ),
             log,
         )
 
     async def run(self) -> None:
         """Serve until a signal asks to stop and all requests are answered."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGTERM, self.ask_to_stop)
+        loop.add_signal_handler(signal.SIGINT, self.ask_to_stop)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self._log.record(
             'start',
@@ -232,7 +229,7 @@
         )
         await self._listen()
         self._view.take_members({self._own.name: self._own})
-        self._callee.attach(self._local)
+        self._callee.board.attach(self._local, self._callee.view())
         self._start_duties()
         try:
             await self._stop_asked.wait()
@@ -240,6 +237,10 @@
         finally:
             self._close()
 
+    def ask_to_stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop_asked.set()
+
     async def _listen(self) -> None:
         listen = self._settings.listen
         await self._control.listen(listen.control)
@@ -277,27 +278,21 @@
     async def _run_ticks(self) -> None:
         reviewed_at = 0.0
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            is_busy = self._callee.gate.waiting
+            await asyncio.sleep(TICK_SECONDS if is_busy else REVIEW_SECONDS)
             self._callee.tick()
             now = self._clock.now()
             if now - reviewed_at >= REVIEW_SECONDS:
                 reviewed_at = now
+                self._links.check(now)
+                self._peers.check(now)
                 self._callee.gate.review(now)
-                self._callee.dependency_cutoff = self._dependency_cutoff(now)
+                self._callee.dependency = self._entry.dependencies.lowest(
+                    self._balancer.views,
+                    now,
+                )
                 self._log.flush()
 
-    def _dependency_cutoff(self, now: float) -> float:
-        lowest = float('inf')
-        for service, called_at in list(self._entry.called_at.items()):
-            if now - called_at > DEPENDENCY_SECONDS:
-                del self._entry.called_at[service]
-                continue
-            views = self._balancer.views(service)
-            if views:
-                mean = sum(view.cutoff for view in views) / len(views)
-                lowest = min(lowest, mean)
-        return lowest
-
     async def _drain(self) -> None:
         asked_at = self._clock.now()
         self._lifecycle.drain()
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -23,6 +23,8 @@
     PolicyDocument,
     Pong,
     State,
+    TokensGiven,
+    TokensWanted,
     dial,
 )
 from mustardshunt.sidecar._metrics import SidecarMetrics
@@ -37,7 +39,6 @@
 # The same for a link without waiting calls.
 IDLE_SILENCE: Final = 2.5
 IDLE_PING: Final = 1.2
-CHECK_SECONDS: Final = 0.2
 # Calls on a lost link wait this long for the new one to tell their fate.
 FATE_SECONDS: Final = 1.2
 
@@ -59,6 +60,10 @@
         """Take the newest change that a peer knows."""
         ...
 
+    def peer_tokens(self, name: str, given: TokensGiven) -> None:
+        """Take tokens that a peer has given, none included."""
+        ...
+
     def peer_document(self, document: bytes) -> None:
         """Take the policy in force at a peer."""
         ...
@@ -99,6 +104,7 @@
         self._log = log
         self._metrics = metrics
         self._stream: FrameStream | None = None
+        self._dialled: FrameStream | None = None
         self._links = 0
         self._peer_incarnation = ''
         self._waiting: dict[int, asyncio.Future[CallResult]] = {}
@@ -106,13 +112,18 @@
         self._pinged_at = 0.0
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer has answered on the link that is open."""
+        return self._stream is not None
+
     def call(self, call: Call) -> asyncio.Future[CallResult]:
         """Send a call; the future takes its result."""
         result: asyncio.Future[CallResult] = self._loop.create_future()
         stream = self._stream
         if stream is None or not stream.is_open:
             result.set_result(
-                NotRun(call.number, Reason.LINK_LOST.value, 0, -1)
+                NotRun(call.number, Reason.LINK_LOST.value, -1, 0)
             )
             return result
         self._waiting[call.number] = result
@@ -124,6 +135,11 @@
         if self._waiting.pop(number, None) is not None and self._stream:
             self._stream.send(Cancel(number))
 
+    def ask_tokens(self, organisation: str, wanted: int) -> None:
+        """Ask the peer for tokens."""
+        if self._stream is not None:
+            self._stream.send(TokensWanted(organisation, wanted))
+
     def ask_policy(self, above: int) -> None:
         """Ask the peer for its policy."""
         if self._stream is not None:
@@ -154,11 +170,11 @@
         stream.send(Hello(self._incarnation, self._links))
         if self._waiting:
             stream.send(FateAsk(tuple(self._waiting)))
-        keeper = self._loop.create_task(self._keep(stream), name='link keeper')
+        self._dialled = stream
         try:
             await self._read(stream)
         finally:
-            keeper.cancel()
+            self._dialled = None
             self._lose(stream)
 
     async def _read(self, stream: FrameStream) -> None:
@@ -185,10 +201,17 @@
         if isinstance(frame, Pong):
             self._events.peer_revision(self.member.name, frame.revision)
             return
+        if isinstance(frame, TokensGiven):
+            self._events.peer_tokens(self.member.name, frame)
+            return
         if isinstance(frame, PolicyDocument):
             self._events.peer_document(frame.document)
 
     def _take_state(self, state: State, stream: FrameStream) -> None:
+        if state.name != self.member.name:
+            # The address has gone to another node.
+            stream.abort()
+            return
         if self._stream is not stream:
             if state.incarnation != self._peer_incarnation:
                 # The run that had the calls has ended.
@@ -206,28 +229,28 @@
         self._events.peer_state(self.member.name, state)
         self._events.peer_revision(self.member.name, state.revision)
 
-    async def _keep(self, stream: FrameStream) -> None:
-        opened_at = self._loop.time()
-        while stream.is_open:
-            await asyncio.sleep(CHECK_SECONDS)
-            now = self._loop.time()
-            silent = now - max(stream.heard_at, opened_at)
-            has_calls = bool(self._waiting)
-            limit = WAITING_SILENCE if has_calls else IDLE_SILENCE
-            if silent > limit:
-                self._log.record(
-                    'link-silent',
-                    now,
-                    peer=self.member.name,
-                    silent_for=round(silent, 3),
-                    waiting=len(self._waiting),
-                )
-                stream.abort()
-                return
-            pause = WAITING_PING if has_calls else IDLE_PING
-            if silent > pause and now - self._pinged_at > pause:
-                self._pinged_at = now
-                stream.send(Ping(self._events.revision()))
+    def check(self, now: float) -> None:
+        """Ping a silent peer, and give up the link of one that stays so."""
+        stream = self._dialled
+        if stream is None:
+            return
+        silent = now - stream.heard_at
+        has_calls = bool(self._waiting)
+        limit = WAITING_SILENCE if has_calls else IDLE_SILENCE
+        if silent > limit:
+            self._log.record(
+                'link-silent',
+                now,
+                peer=self.member.name,
+                silent_for=round(silent, 3),
+                waiting=len(self._waiting),
+            )
+            stream.abort()
+            return
+        pause = WAITING_PING if has_calls else IDLE_PING
+        if silent > pause and now - self._pinged_at > pause:
+            self._pinged_at = now
+            stream.send(Ping(self._events.revision()))
 
     def _lose(self, stream: FrameStream) -> None:
         stream.abort()
@@ -282,6 +305,12 @@
         """Return the link to a node."""
         return self._link_by_name.get(name)
 
+    def open_members(self) -> list[Member]:
+        """Return the nodes that can be reached now."""
+        return [
+            link.member for link in self._link_by_name.values() if link.is_open
+        ]
+
     def set_members(self, members: dict[str, Member]) -> None:
         """Open links to new nodes and close those to former ones."""
         for name, link in list(self._link_by_name.items()):
@@ -298,6 +327,11 @@
                 name=f'link to {name}',
             )
 
+    def check(self, now: float) -> None:
+        """Look for silent peers; called every 0.1 s."""
+        for link in self._link_by_name.values():
+            link.check(now)
+
     def close(self) -> None:
         """Close all links."""
         self.set_members({})
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -1,6 +1,7 @@
 """Links on which other nodes send calls to this one: one task each."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, TypeAlias
@@ -23,6 +24,8 @@
     PolicyDocument,
     Pong,
     State,
+    TokensGiven,
+    TokensWanted,
 )
 from mustardshunt.sidecar._callee import Callee
 from mustardshunt.upstream import Ticket
@@ -31,15 +34,17 @@
 RETURN_SECONDS: Final = 1.5
 # Links without any frame for this long belong to senders that are gone.
 SILENCE_SECONDS: Final = 6.0
-CHECK_SECONDS: Final = 1.0
 BACKLOG: Final = 512
+# Results that are kept for each sender, enough for those of its last seconds.
+MAX_KEPT_BYTES: Final = 262144
+_FRAME_BYTES: Final = 200
 
 CallResult: TypeAlias = Answered | NotRun | Lost
 
 
 @dataclass(frozen=True, slots=True)
-class PolicyExchange:
-    """How the links share what is known of the operators' changes.
+class PeerServices:
+    """What a node does for others besides running their calls.
 
     Parameters
     ----------
@@ -47,10 +52,13 @@
         Returns the newest change that this node knows.
     document : callable
         Returns the text of the policy in force, with its version.
+    give_tokens : callable
+        Takes tokens of an organisation out of this node's share.
     """
 
     revision: Callable[[], int]
     document: Callable[[], tuple[int, bytes]]
+    give_tokens: Callable[[str, int], int]
 
 
 class PeerSession:
@@ -70,16 +78,19 @@
         self.link = 0
         self._callee = callee
         self._ticket_by_number: dict[int, Ticket] = {}
-        self._undelivered: dict[int, CallResult] = {}
+        # Results are kept after they were sent: what was written to a link
+        # that is lost may never have arrived.
+        self._result_by_number: OrderedDict[int, CallResult] = OrderedDict()
+        self._kept_bytes = 0
+        self._highest = 0
         self._barred: set[int] = set()
 
     def deliver(self, number: int, frame: CallResult) -> None:
         """Send the result of a call, or keep it for the next link."""
         self._ticket_by_number.pop(number, None)
-        if self.stream is not None and self.stream.is_open:
+        self._keep(number, frame)
+        if self.stream is not None:
             self.stream.send(frame)
-        else:
-            self._undelivered[number] = frame
 
     def show(self, state: State) -> None:
         """Send the state of the backend server."""
@@ -90,6 +101,7 @@
         """Run a call, unless its sender was told that it never will."""
         if call.number in self._barred:
             return
+        self._highest = max(self._highest, call.number)
         ticket = self._callee.accept(call, self)
         if ticket is not None:
             self._ticket_by_number[call.number] = ticket
@@ -104,25 +116,33 @@
         """Answer what became of the calls of older links."""
         asked = set(numbers)
         for number in numbers:
-            result = self._undelivered.pop(number, None)
-            if result is not None:
-                self.deliver(number, result)
-                continue
             if number in self._ticket_by_number:
                 continue
-            # It never came here and, being barred, never will run.
-            self._barred.add(number)
-            self.deliver(number, NotRun(number, Reason.LINK_LOST.value, 0, -1))
+            result = self._result_by_number.get(number)
+            self.deliver(number, result or self._missing(number))
         for number in list(self._ticket_by_number):
             if number not in asked:
                 self.cancel(number)
-        self._undelivered.clear()
 
     def give_up(self) -> None:
         """Give up all calls, because their sender does not come back."""
         for number in list(self._ticket_by_number):
             self.cancel(number)
-        self._undelivered.clear()
+        self._result_by_number.clear()
+
+    def _missing(self, number: int) -> CallResult:
+        if number <= self._highest:
+            return Lost(number, 'the answer is no longer known')
+        # Calls come in the order of their numbers, so this one never came;
+        # being barred, it never will run.
+        self._barred.add(number)
+        return NotRun(number, Reason.LINK_LOST.value, -1, 0)
+
+    def _keep(self, number: int, frame: CallResult) -> None:
+        self._result_by_number[number] = frame
+        self._kept_bytes += _size(frame)
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            self._kept_bytes -= _size(self._result_by_number.popitem(False)[1])
 
 
 class PeerServer:
@@ -132,10 +152,8 @@
     ----------
     callee : Callee
         Runs the calls.
-    exchange : PolicyExchange
-        Shares the operators' changes.
-    on_revision : callable
-        Takes the newest change that a peer knows, and how to ask for it.
+    services : PeerServices
+        What is done for other nodes besides.
     log : EventLog
         Takes invalid links.
     """
@@ -143,17 +161,15 @@
     def __init__(
         self,
         callee: Callee,
-        exchange: PolicyExchange,
-        on_document: Callable[[bytes], None],
+        services: PeerServices,
         log: EventLog,
     ) -> None:
         self._callee = callee
-        self._exchange = exchange
-        self._on_document = on_document
+        self._services = services
         self._log = log
         self._session_by_incarnation: dict[str, PeerSession] = {}
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._streams: set[FrameStream] = set()
 
     async def listen(self, address: VmAddress) -> None:
         """Start to accept links."""
@@ -164,32 +180,34 @@
             backlog=BACKLOG,
         )
 
+    def check(self, now: float) -> None:
+        """Close the links of senders that are gone."""
+        for stream in list(self._streams):
+            if now - stream.heard_at > SILENCE_SECONDS:
+                stream.abort()
+
     def close(self) -> None:
         """Close all links."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
+        for stream in list(self._streams):
+            stream.abort()
 
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        task = asyncio.current_task()
-        if task is not None:
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
         stream = FrameStream(reader, writer)
-        keeper = asyncio.create_task(_end_silent(stream), name='link watch')
+        self._streams.add(stream)
         try:
             await self._read(stream)
         except FrameError as error:
             now = asyncio.get_running_loop().time()
             self._log.record('link-invalid', now, error=error.message)
         finally:
-            keeper.cancel()
             stream.abort()
+            self._streams.discard(stream)
 
     async def _read(self, stream: FrameStream) -> None:
         session: PeerSession | None = None
@@ -205,7 +223,7 @@
         finally:
             if session is not None and session.stream is stream:
                 session.stream = None
-                self._callee.detach(session)
+                self._callee.board.detach(session)
                 loop = asyncio.get_running_loop()
                 loop.call_later(RETURN_SECONDS, self._forget, session)
 
@@ -223,8 +241,8 @@
         session.stream = stream
         if former is not None:
             former.abort()
-            self._callee.detach(session)
-        self._callee.attach(session)
+            self._callee.board.detach(session)
+        self._callee.board.attach(session, self._callee.view())
         return session
 
     def _handle(
@@ -233,20 +251,33 @@
         session: PeerSession,
         stream: FrameStream,
     ) -> None:
-        if isinstance(frame, Call):
-            session.start(frame)
-        elif isinstance(frame, Cancel):
-            session.cancel(frame.number)
-        elif isinstance(frame, Ping):
-            stream.send(Pong(self._exchange.revision()))
-        elif isinstance(frame, FateAsk):
-            session.tell_fates(frame.numbers)
-        elif isinstance(frame, PolicyAsk):
-            version, document = self._exchange.document()
-            if version > frame.above:
-                stream.send(PolicyDocument(document))
-        elif isinstance(frame, PolicyDocument):
-            self._on_document(frame.document)
+        match frame:
+            case Call():
+                session.start(frame)
+            case Cancel():
+                session.cancel(frame.number)
+            case Ping():
+                stream.send(Pong(self._services.revision()))
+            case FateAsk():
+                session.tell_fates(frame.numbers)
+            case TokensWanted() | PolicyAsk():
+                self._serve_other(frame, stream)
+
+    def _serve_other(
+        self,
+        frame: TokensWanted | PolicyAsk,
+        stream: FrameStream,
+    ) -> None:
+        if isinstance(frame, TokensWanted):
+            amount = self._services.give_tokens(
+                frame.organisation,
+                frame.wanted,
+            )
+            stream.send(TokensGiven(frame.organisation, amount))
+            return
+        version, document = self._services.document()
+        if version > frame.above:
+            stream.send(PolicyDocument(document))
 
     def _forget(self, session: PeerSession) -> None:
         if session.stream is None:
@@ -254,9 +285,7 @@
             self._session_by_incarnation.pop(session.incarnation, None)
 
 
-async def _end_silent(stream: FrameStream) -> None:
-    loop = asyncio.get_running_loop()
-    while stream.is_open:
-        await asyncio.sleep(CHECK_SECONDS)
-        if loop.time() - stream.heard_at > SILENCE_SECONDS:
-            stream.abort()
+def _size(frame: CallResult) -> int:
+    if isinstance(frame, Answered):
+        return _FRAME_BYTES + len(frame.head) + len(frame.body)
+    return _FRAME_BYTES
--- a/mustardshunt/sidecar/_ports.py
+++ b/mustardshunt/sidecar/_ports.py
@@ -162,7 +162,7 @@
     revision : int
         Revision of the platform up to which this is complete.
     changed : tuple of Member
-        Nodes that are there.
+        Nodes that are there, the last changed last.
     removed : tuple of str
         Names of nodes that have left.
     is_whole : bool
--- a/mustardshunt/sidecar/_sender.py
+++ b/mustardshunt/sidecar/_sender.py
@@ -90,7 +90,7 @@
             return link.call(call)
         loop = asyncio.get_running_loop()
         result: asyncio.Future[CallResult] = loop.create_future()
-        result.set_result(NotRun(call.number, Reason.LINK_LOST.value, 0, -1))
+        result.set_result(NotRun(call.number, Reason.LINK_LOST.value, -1, 0))
         return result
 
     def cancel(self, name: str, number: int) -> None:
--- a/mustardshunt/sidecar/_settings.py
+++ b/mustardshunt/sidecar/_settings.py
@@ -215,9 +215,8 @@
             faults.append(_unknown(file, f'[{section}]', section, 'a section'))
     for section, make in _CLASS_BY_SECTION.items():
         found = dict(parser[section]) if parser.has_section(section) else {}
-        values[section], section_faults = _read_section(
-            file, section, make, found
-        )
+        read, section_faults = _read_section(file, section, make, found)
+        values[section] = read
         faults.extend(section_faults)
     return values, faults
 
@@ -229,17 +228,16 @@
     found: dict[str, str],
 ) -> tuple[dict[str, Any], list[Fault]]:
     values: dict[str, Any] = {}
-    faults = []
     type_by_option = {field.name: field.type for field in fields(make)}
     optional = {
         field.name for field in fields(make) if field.default is not MISSING
     }
-    for option in found:
-        if option not in type_by_option:
-            place = f'[{section}] {option}'
-            faults.append(
-                _unknown(file, place, option, 'an option', type_by_option)
-            )
+    faults = [
+        _unknown(file, f'[{section}] {option}', option, 'an option', known)
+        for known in (tuple(type_by_option),)
+        for option in found
+        if option not in known
+    ]
     for option, wanted in type_by_option.items():
         place = f'[{section}] {option}'
         if option in optional and not found.get(option, '').strip():
--- /dev/null
+++ b/mustardshunt/sidecar/_state_board.py
@@ -0,0 +1,99 @@
+"""Shows the state of the backend server to all nodes that call it."""
+
+from typing import Final, Protocol
+
+from mustardshunt.relay import Answered, Lost, NotRun, State
+from mustardshunt.upstream import GateView
+
+# Changes of load are shown at most this often; other changes at once.
+SHOW_SECONDS: Final = 0.2
+# Changes of load below this part of the limit are not worth the bytes.
+SHOWN_LOAD_STEP: Final = 0.15
+SHOWN_CUTOFF_STEP: Final = 0.1
+
+
+class ReplySink(Protocol):
+    """Where the result of a call goes."""
+
+    def deliver(self, number: int, frame: Answered | NotRun | Lost) -> None:
+        """Take the result of a call."""
+        ...
+
+    def show(self, state: State) -> None:
+        """Take a new state of the backend server."""
+        ...
+
+
+class StateBoard:
+    """Tells sinks of changes that matter to their choice.
+
+    Parameters
+    ----------
+    name : str
+        Name of this node.
+    incarnation : str
+        Run of this node.
+    """
+
+    def __init__(self, name: str, incarnation: str) -> None:
+        self.revision = 0
+        self._name = name
+        self._incarnation = incarnation
+        self._sinks: list[ReplySink] = []
+        self._shown: GateView | None = None
+        self._shown_at = 0.0
+
+    def attach(self, sink: ReplySink, view: GateView) -> None:
+        """Show a sink the state from now on."""
+        self._sinks.append(sink)
+        sink.show(self._state(view))
+
+    def detach(self, sink: ReplySink) -> None:
+        """Show a sink nothing more."""
+        if sink in self._sinks:
+            self._sinks.remove(sink)
+
+    def show_if_changed(self, view: GateView, now: float) -> None:
+        """Show a view when it differs enough from the last one."""
+        shown = self._shown
+        if shown is None or _has_turned(shown, view):
+            self.show(view, now)
+            return
+        if now - self._shown_at >= SHOW_SECONDS and _has_moved(shown, view):
+            self.show(view, now)
+
+    def show(self, view: GateView, now: float) -> None:
+        """Show a view, whether it has changed or not."""
+        self._shown = view
+        self._shown_at = now
+        state = self._state(view)
+        for sink in list(self._sinks):
+            sink.show(state)
+
+    def _state(self, view: GateView) -> State:
+        return State(
+            self._name,
+            self._incarnation,
+            view.phase.value,
+            view.is_cold,
+            view.in_flight,
+            view.limit,
+            view.cutoff,
+            view.hops,
+            self.revision,
+        )
+
+
+def _has_turned(shown: GateView, view: GateView) -> bool:
+    return (
+        shown.phase is not view.phase
+        or shown.is_cold != view.is_cold
+        or shown.limit != view.limit
+    )
+
+
+def _has_moved(shown: GateView, view: GateView) -> bool:
+    moved = abs(shown.in_flight - view.in_flight)
+    if moved > SHOWN_LOAD_STEP * view.limit:
+        return True
+    return abs(shown.cutoff - view.cutoff) >= SHOWN_CUTOFF_STEP
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -24,7 +24,7 @@
 GATHER_SECONDS: Final = 0.2
 FIRST_PAUSE: Final = 0.2
 # The store is to be used again within two seconds of its return.
-LONGEST_PAUSE: Final = 0.8
+LONGEST_PAUSE: Final = 1.4
 # A change that a peer knows and the feed has not brought is read after this.
 NUDGE_SECONDS: Final = 0.15
 
@@ -250,11 +250,14 @@
     def _merge(self, news: MemberNews) -> bool:
         by_name = {} if news.is_whole else dict(self.by_name)
         for member in news.changed:
+            _drop_former(by_name, member)
             by_name[member.name] = member
         for name in news.removed:
             by_name.pop(name, None)
         own = by_name.get(self._own.name)
-        if own != self._own and news.is_whole | (self._own.name in news.removed):
+        if own != self._own and news.is_whole | (
+            self._own.name in news.removed
+        ):
             self._must_register.set()
         by_name[self._own.name] = self._own
         has_changed = by_name != self.by_name
@@ -262,3 +265,8 @@
         return has_changed
 
 
+def _drop_former(by_name: dict[str, Member], member: Member) -> None:
+    """Remove the entry of a node whose address another node has now."""
+    for name, other in list(by_name.items()):
+        if other.address == member.address and name != member.name:
+            del by_name[name]
--- a/mustardshunt/sidecar/_view.py
+++ b/mustardshunt/sidecar/_view.py
@@ -1,10 +1,11 @@
 """What the node knows of the deployment, spread to the parts that use it."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from mustardshunt.base import Clock
-from mustardshunt.caps import CapShares
+from mustardshunt.caps import CapShares, TokenAsk
 from mustardshunt.observability import EventLog
 from mustardshunt.placement import (
     Balancer,
@@ -13,11 +14,12 @@
     RouteSplit,
 )
 from mustardshunt.policy import Policy, PolicyRegistry
-from mustardshunt.relay import State
+from mustardshunt.relay import State, TokensGiven
 from mustardshunt.sidecar._callee import Callee
 from mustardshunt.sidecar._peer_link import LinkTable
 from mustardshunt.sidecar._ports import OperatorNews, OperatorSource
 from mustardshunt.sidecar._sync import OperatorSync
+from mustardshunt.sidecar._token_desk import TokenDesk
 from mustardshunt.upstream import GateView, ServerPhase
 
 
@@ -87,11 +89,19 @@
         self._revision = -1
         self._sync: OperatorSync | None = None
         self._links: LinkTable | None = None
+        self._tokens: TokenDesk | None = None
+        self._random = random.Random(own.incarnation)
 
-    def connect(self, sync: OperatorSync, links: LinkTable) -> None:
+    def connect(
+        self,
+        sync: OperatorSync,
+        links: LinkTable,
+        tokens: TokenDesk,
+    ) -> None:
         """Take the parts that are made after this one."""
         self._sync = sync
         self._links = links
+        self._tokens = tokens
 
     def revision(self) -> int:
         """Return the newest change of operators that this node knows."""
@@ -119,14 +129,14 @@
             self._spread_evacuation(news.revision)
         if news.revision > self._revision:
             self._revision = news.revision
-            self._parts.callee.revision = news.revision
+            self._parts.callee.board.revision = news.revision
 
     def take_members(self, by_name: dict[str, Member]) -> None:
         """Take the nodes of the deployment."""
         parts = self._parts
         parts.balancer.set_members(by_name.values())
         parts.retries.set_nodes(len(by_name))
-        parts.caps.set_nodes(len(by_name))
+        parts.caps.set_nodes(self._own.name, by_name)
         others = {
             name: member
             for name, member in by_name.items()
@@ -149,6 +159,7 @@
             state.in_flight,
             state.limit,
             state.cutoff,
+            state.hops,
         )
         self._parts.balancer.update(name, view)
 
@@ -165,6 +176,27 @@
         if link is not None:
             link.ask_policy(self._parts.registry.version)
 
+    def peer_tokens(self, name: str, given: TokensGiven) -> None:
+        """Take tokens that a peer has given, none included."""
+        if self._tokens is not None:
+            self._tokens.receive(given.organisation, name, given.amount)
+
+    def names(self) -> list[str]:
+        """Return the nodes that can be asked for tokens, near ones first."""
+        if self._links is None:
+            return []
+        members = self._links.open_members()
+        self._random.shuffle(members)
+        own = self._own.data_centre
+        members.sort(key=lambda member: member.data_centre != own)
+        return [member.name for member in members]
+
+    def ask(self, ask: TokenAsk) -> None:
+        """Send an ask for tokens to a node."""
+        link = None if self._links is None else self._links.get(ask.node)
+        if link is not None:
+            link.ask_tokens(ask.organisation, ask.wanted)
+
     def peer_document(self, document: bytes) -> None:
         """Take the policy in force at a peer."""
         policy = self._source.parse(document)
@@ -179,7 +211,6 @@
         self._document = document
         parts.split.clear()
         parts.caps.set_caps(policy.organisation_by_name, now)
-        parts.caps.end_start()
         gate = parts.callee.gate
         gate.set_service(policy.service_by_name.get(self._own.service))
         in_force = parts.registry.in_force
--- /dev/null
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -0,0 +1,93 @@
+"""Fate of calls whose link was replaced."""
+
+from mustardshunt.relay import Answered, Call, Lost, NotRun
+from mustardshunt.sidecar._peer_server import PeerSession
+from mustardshunt.upstream import Ticket
+
+
+def make_call(number: int) -> Call:
+    return Call(
+        number,
+        's',
+        f'r{number}',
+        900,
+        100,
+        0,
+        False,
+        '',
+        'c',
+        'POST',
+        '/',
+        b'',
+        b'',
+    )
+
+
+class FakeStream:
+    def __init__(self) -> None:
+        self.is_open = True
+        self.sent: list[object] = []
+
+    def send(self, frame: object) -> None:
+        self.sent.append(frame)
+
+
+class FakeCallee:
+    def __init__(self) -> None:
+        self.cancelled: list[Ticket] = []
+
+    def accept(self, call: Call, sink: object) -> Ticket:
+        return Ticket(call.number, 0, False, '', 1.0)
+
+    def cancel(self, ticket: Ticket, reason: str) -> None:
+        self.cancelled.append(ticket)
+
+
+def make_session() -> PeerSession:
+    session = PeerSession('a-1', FakeCallee())  # type: ignore[arg-type]
+    session.stream = FakeStream()  # type: ignore[assignment]
+    return session
+
+
+def ask(session: PeerSession, *numbers: int) -> list[object]:
+    stream = FakeStream()
+    session.stream = stream  # type: ignore[assignment]
+    session.tell_fates(numbers)
+    return stream.sent
+
+
+def test_answer_written_to_a_lost_link_is_not_called_not_run():
+    """An order ran twice: its answer had left on the link that was lost."""
+    session = make_session()
+    session.start(make_call(7))
+    answer = Answered(7, 200, b'', b'done', 0, 100)
+    session.deliver(7, answer)
+    assert ask(session, 7) == [answer]
+
+
+def test_call_whose_answer_is_forgotten_is_unknown():
+    session = make_session()
+    session.start(make_call(7))
+    session.deliver(7, Answered(7, 200, b'', b'x' * 400_000, 0, 100))
+    session.start(make_call(8))
+    session.deliver(8, Answered(8, 200, b'', b'x' * 400_000, 0, 100))
+    assert isinstance(ask(session, 7)[0], Lost)
+
+
+def test_call_that_never_came_is_barred():
+    session = make_session()
+    session.start(make_call(7))
+    fates = ask(session, 7, 9)
+    assert [type(fate) for fate in fates] == [NotRun]
+    session.start(make_call(9))
+    # The late frame of call 9 was ignored: no result can come of it.
+    assert ask(session, 9) == fates
+
+
+def test_running_call_is_left_running_and_unasked_one_is_given_up():
+    session = make_session()
+    session.start(make_call(7))
+    session.start(make_call(8))
+    assert not ask(session, 7)
+    callee = session._callee
+    assert [ticket.key for ticket in callee.cancelled] == [8]
--- /dev/null
+++ b/mustardshunt/standin/deployment_store.py
@@ -0,0 +1,161 @@
+"""Stand-in of the platform's store, speaking its published protocol."""
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+from aiohttp import web
+
+from mustardshunt.base import VmAddress
+
+_LONGEST_WAIT_MS: Final = 30000
+_MS_PER_SECOND: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    table: str
+    key: str
+    value: str
+    version: int
+    is_removed: bool
+
+    def as_row(self) -> dict[str, Any]:
+        row: dict[str, Any] = {
+            'table': self.table,
+            'part': '',
+            'key': self.key,
+            'ver': self.version,
+        }
+        if self.is_removed:
+            row['removed'] = True
+        else:
+            row['value'] = self.value
+        return row
+
+
+class DeploymentStore:
+    """Rows in memory, with a feed of changes.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether every call is turned away with 503.
+    calls : int
+        Calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.calls = 0
+        self._version = 0
+        self._row_by_key: dict[tuple[str, str], _Change] = {}
+        self._changes: list[_Change] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: VmAddress) -> None:
+        """Listen for calls."""
+        application = web.Application()
+        application.add_routes([
+            web.post('/rows-tx', self._transact),
+            web.get('/rows-get', self._get),
+            web.get('/rows-feed', self._feed),
+        ])
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, address.host, address.port).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, table: str, key: str, content: object) -> None:
+        """Write a row as an operator or another node does."""
+        text = json.dumps(content).encode()
+        self._apply(table, key, base64.b64encode(text).decode())
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._apply(table, key, None)
+
+    def forget_history(self) -> None:
+        """Drop the changes so far; feeds must read anew."""
+        self._oldest = self._version
+        self._changes.clear()
+
+    def keys(self, table: str) -> list[str]:
+        """Return the keys of a table."""
+        return sorted(key for found, key in self._row_by_key if found == table)
+
+    def _apply(self, table: str, key: str, value: str | None) -> None:
+        self._version += 1
+        change = _Change(table, key, value or '', self._version, value is None)
+        if value is None:
+            self._row_by_key.pop((table, key), None)
+        else:
+            self._row_by_key[table, key] = change
+        self._changes.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.is_down:
+            return web.Response(status=503)
+        entries = await request.json()
+        for row in entries.get('precondition', []):
+            found = self._row_by_key.get((row['table'], row['key']))
+            version = found.version if found else 0
+            if version != row['ver']:
+                return web.json_response({'rows': []}, status=412)
+        for row in entries.get('writes', []):
+            self._apply(row['table'], row['key'], row['value'])
+        for row in entries.get('remove', []):
+            self._apply(row['table'], row['key'], None)
+        return self._respond({})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.is_down:
+            return web.Response(status=503)
+        table = request.query['table']
+        rows = [
+            self._row_by_key[found, key].as_row()
+            for found, key in sorted(self._row_by_key)
+            if found == table
+        ]
+        return self._respond({'rows': rows, 'has_more': False})
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.is_down:
+            return web.Response(status=503)
+        after = int(request.query['after'])
+        if after < self._oldest:
+            return web.Response(status=410)
+        table = request.query['table']
+        wait_ms = min(_LONGEST_WAIT_MS, int(request.query['wait_ms']))
+        try:
+            async with asyncio.timeout(wait_ms / _MS_PER_SECOND):
+                while not self._rows_since(table, after):
+                    await self._changed.wait()
+        except TimeoutError:
+            return self._respond({'rows': []})
+        return self._respond({'rows': self._rows_since(table, after)})
+
+    def _rows_since(self, table: str, after: int) -> list[dict[str, Any]]:
+        return [
+            change.as_row()
+            for change in self._changes
+            if change.table == table and change.version > after
+        ]
+
+    def _respond(self, content: dict[str, Any]) -> web.Response:
+        return web.json_response({**content, 'ver': self._version})
--- /dev/null
+++ b/mustardshunt/standin/tests/deployment.py
@@ -0,0 +1,219 @@
+"""A small deployment in one process: a store, nodes, backend servers."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from mustardshunt.base import VmAddress
+from mustardshunt.observability import EventLog
+from mustardshunt.platform import (
+    PlatformDialect,
+    PlatformServerCalls,
+    StoreClient,
+    StoreMemberDirectory,
+    StoreOperatorSource,
+)
+from mustardshunt.sidecar import PlatformAdapter, Sidecar
+from mustardshunt.sidecar._settings import (
+    BoundsSection,
+    ListenSection,
+    NodeSection,
+    PlatformSection,
+    SidecarSettings,
+)
+from mustardshunt.standin.deployment_server import DeploymentServer
+from mustardshunt.standin.deployment_store import DeploymentStore
+
+HOST = '127.0.0.1'
+
+
+def free_address() -> VmAddress:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return VmAddress(HOST, probe.getsockname()[1])
+
+
+def make_policy(version: int = 1, **changes: Any) -> dict[str, Any]:
+    policy: dict[str, Any] = {
+        'version': version,
+        'routes': {
+            'read': make_route('/read/', 'idempotent', 'stock'),
+            'order': make_route('/order/', 'non_idempotent', 'stock'),
+            'open': make_route('/open/', 'idempotent', 'stock', True),
+        },
+        'services': {
+            'stock': {
+                'health_path': '/healthz',
+                'max_connections': 64,
+                'warmup': '1s',
+                'cold_per_s': 5.0,
+            },
+        },
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1048576,
+            'header_timeout': '3000ms',
+            'idle_timeout': '15000ms',
+        },
+        'tenants': {
+            'acme': {'api_keys': ['k-acme'], 'rate_per_s': 0, 'burst': 0},
+        },
+    }
+    policy.update(changes)
+    return policy
+
+
+def make_route(
+    prefix: str, kind: str, service: str, is_open: bool = False
+) -> dict[str, Any]:
+    return {
+        'host': 'h.example',
+        'prefix': prefix,
+        'kind': kind,
+        'timeout': '2000ms',
+        'target_latency': '1000ms',
+        'priority': 0,
+        'service': service,
+        'max_attempts': 2,
+        'auth_exempt': is_open,
+    }
+
+
+class SilentLog(EventLog):
+    """Keeps the lines for tests to look at."""
+
+    def __init__(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+
+    def record(self, kind: str, now: float, **inputs: Any) -> None:
+        self.lines.append({'kind': kind, **inputs})
+
+    def flush(self) -> None:
+        """Do nothing: lines are kept."""
+
+
+@dataclass
+class Node:
+    sidecar: Sidecar
+    settings: SidecarSettings
+    log: SilentLog
+    task: asyncio.Task[None]
+    session: aiohttp.ClientSession
+
+    @property
+    def callers(self) -> VmAddress:
+        return self.settings.listen.callers
+
+    async def kill(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.session.close()
+
+
+@dataclass
+class Deployment:
+    store: DeploymentStore
+    store_address: VmAddress
+    nodes: list[Node] = field(default_factory=list)
+    servers: list[DeploymentServer] = field(default_factory=list)
+    client: aiohttp.ClientSession | None = None
+    requests: int = 0
+
+    async def add_node(
+        self, name: str, zone: str = 'z', with_server: bool = True
+    ) -> Node:
+        settings = SidecarSettings(
+            NodeSection(name, zone, 'stock', free_address(), True, 300, 'INFO'),
+            ListenSection(*(free_address() for _ in range(5))),
+            PlatformSection(self.store_address, 0.2),
+            BoundsSection(grace=3.0),
+        )
+        node = await self.start_node(settings)
+        if with_server:
+            await self.add_server(f'i-{name}', settings)
+        return node
+
+    async def start_node(self, settings: SidecarSettings) -> Node:
+        session = aiohttp.ClientSession()
+        store = StoreClient(session, self.store_address)
+        adapter = PlatformAdapter(
+            PlatformDialect(),
+            PlatformServerCalls(settings.node.service),
+            StoreOperatorSource(store),
+            StoreMemberDirectory(store),
+        )
+        log = SilentLog()
+        sidecar = Sidecar(settings, adapter, log)
+        task = asyncio.create_task(sidecar.run())
+        node = Node(sidecar, settings, log, task, session)
+        self.nodes.append(node)
+        return node
+
+    async def add_server(
+        self, instance: str, settings: SidecarSettings
+    ) -> DeploymentServer:
+        server = DeploymentServer(
+            instance,
+            settings.node.service,
+            settings.node.backend_server,
+            settings.listen.control,
+        )
+        await server.start()
+        self.servers.append(server)
+        return server
+
+    async def call(
+        self, node: Node, method: str, path: str, **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        if self.client is None:
+            self.client = aiohttp.ClientSession()
+        self.requests += 1
+        sent = {
+            'Host': 'h.example',
+            'Mustardshunt-Request-Id': f'q{self.requests}',
+            'Mustardshunt-Deadline-Ms': '1500',
+            'Authorization': 'Bearer k-acme',
+        }
+        for name, text in headers.items():
+            sent[name.replace('_', '-')] = text
+        body = b'payload' if method == 'POST' else None
+        url = f'http://{node.callers}{path}'
+        async with self.client.request(
+            method, url, headers=sent, data=body
+        ) as response:
+            return (
+                response.status,
+                await response.read(),
+                dict(response.headers),
+            )
+
+    async def until_served(self, node: Node) -> None:
+        async with asyncio.timeout(8):
+            while True:
+                try:
+                    status, _, _ = await self.call(node, 'GET', '/read/x')
+                except aiohttp.ClientError:
+                    status = 0
+                if status == 200:
+                    return
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        if self.client is not None:
+            await self.client.close()
+        for server in self.servers:
+            await server.stop()
+        for node in self.nodes:
+            await node.kill()
+        await self.store.stop()
+
+
+async def start_deployment() -> Deployment:
+    store = DeploymentStore()
+    address = free_address()
+    await store.start(address)
+    store.put('op', 'config', make_policy())
+    return Deployment(store, address)
--- a/mustardshunt/upstream/_events.py
+++ b/mustardshunt/upstream/_events.py
@@ -124,6 +124,9 @@
         Calls that may run at the same time.
     cutoff : float
         Positions below this are accepted.
+    hops : int
+        Calls down the chain at which the cutoff arose, 0 for the backend
+        server itself.
     """
 
     phase: ServerPhase
@@ -131,3 +134,4 @@
     in_flight: int
     limit: int
     cutoff: float
+    hops: int = 0
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -61,6 +61,11 @@
         """Number of calls at the backend server."""
         return len(self._running)
 
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait for a slot."""
+        return len(self._waiting)
+
     def set_service(self, service: ServicePolicy | None) -> None:
         """Take the limits of the backend server's service."""
         self._service = service
--- a/mustardshunt/upstream/_presence.py
+++ b/mustardshunt/upstream/_presence.py
@@ -68,8 +68,8 @@
 
     def _is_outdated(self, report: ServerReport) -> bool:
         if report.instance in self._ended:
-            ended = self._ended[report.instance]
-            return not _is_later(report.started_at, ended)
+            ended_at = self._ended.get(report.instance)
+            return not _is_later(report.started_at, ended_at)
         current = self.current
         if current is None:
             return False
@@ -88,9 +88,7 @@
 
 
 def _is_same_run(one: ServerReport, other: ServerReport) -> bool:
-    return (
-        one.instance == other.instance and one.started_at == other.started_at
-    )
+    return one.instance == other.instance and one.started_at == other.started_at
 
 
 def _is_later(one: int | None, other: int | None) -> bool:
