--- /dev/null
+++ b/mustardshunt/relay/tests/test_backend.py
@@ -0,0 +1,155 @@
+"""Answers of a backend server that misbehaves."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+from aiohttp.http_parser import RawResponseMessage
+
+from mustardshunt.base import VmAddress
+from mustardshunt.relay import (
+    BackendAnswer,
+    BackendFailure,
+    BackendOutcome,
+    BackendPool,
+    FailureKind,
+)
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\n'
+LATE = b'HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 3\r\n\r\nold'
+RESET = object()
+
+
+class Job:
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.outcome: asyncio.Future[BackendOutcome] = loop.create_future()
+
+    def render(self) -> bytes:
+        return b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+
+    def owns(self, message: RawResponseMessage) -> bool:
+        return message.headers.get('X-Id') == '1'
+
+    def finish(self, outcome: BackendOutcome) -> None:
+        self.outcome.set_result(outcome)
+
+
+async def exchange(*pieces: object) -> tuple[BackendOutcome, BackendPool]:
+    """Send one request and let the server answer in these pieces."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        for piece in pieces:
+            if piece is RESET:
+                connection = writer.get_extra_info('socket')
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+                )
+                writer.transport.abort()
+                return
+            if piece is None:
+                writer.close()
+                return
+            writer.write(piece)  # type: ignore[arg-type]
+            await asyncio.sleep(0.01)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    address = VmAddress(*server.sockets[0].getsockname()[:2])
+    pool = BackendPool(address, 1 << 20, lambda: None)
+    job = Job()
+    pool.submit(job)
+    async with asyncio.timeout(3):
+        outcome = await job.outcome
+    await asyncio.sleep(0.05)
+    server.close()
+    return outcome, pool
+
+
+async def test_answer_in_pieces_is_whole_and_its_connection_kept():
+    outcome, pool = await exchange(HEAD + b'ab', b'cd')
+    assert isinstance(outcome, BackendAnswer)
+    assert outcome.body == b'abcd'
+    assert len(pool.idle) == 1
+    pool.close()
+
+
+async def test_late_answer_in_front_belongs_to_no_call():
+    outcome, pool = await exchange(LATE, HEAD + b'abcd')
+    assert isinstance(outcome, BackendAnswer)
+    assert outcome.body == b'abcd'
+    assert not pool.idle
+
+
+async def test_extra_answer_spoils_the_connection():
+    outcome, pool = await exchange(HEAD + b'abcd', LATE)
+    assert isinstance(outcome, BackendAnswer)
+    assert not pool.idle
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'kind'),
+    [
+        ((HEAD + b'ab', None), FailureKind.LOST),
+        ((b'no answer at all\r\n\r\n',), FailureKind.INVALID),
+        ((b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nab', RESET), FailureKind.LOST),
+        ((None,), FailureKind.LOST),
+    ],
+)
+async def test_answer_cut_short_is_never_whole(
+    pieces: tuple[object, ...], kind: FailureKind
+):
+    outcome, _ = await exchange(*pieces)
+    assert outcome == BackendFailure(kind, has_begun=True)
+
+
+async def test_answer_without_length_ends_with_its_connection():
+    head = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n'
+    outcome, pool = await exchange(head + b'ab', b'cd', None)
+    assert isinstance(outcome, BackendAnswer)
+    assert outcome.body == b'abcd'
+    assert not pool.idle
+
+
+async def test_refused_connection_has_not_begun():
+    refusals = []
+    probe = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+    address = VmAddress(*probe.sockets[0].getsockname()[:2])
+    probe.close()
+    await probe.wait_closed()
+    pool = BackendPool(address, 1 << 20, lambda: refusals.append(1))
+    job = Job()
+    pool.submit(job)
+    async with asyncio.timeout(3):
+        outcome = await job.outcome
+    assert outcome == BackendFailure(FailureKind.REFUSED, has_begun=False)
+    assert refusals
+
+
+async def test_cancelled_job_closes_its_connection():
+    closed = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        # A reset says that the caller has gone, as an end does.
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        closed.set()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    address = VmAddress(*server.sockets[0].getsockname()[:2])
+    pool = BackendPool(address, 1 << 20, lambda: None)
+    job = Job()
+    connection = pool.submit(job)
+    await asyncio.sleep(0.05)
+    connection.cancel(job)
+    async with asyncio.timeout(3):
+        await closed.wait()
+        assert isinstance(await job.outcome, BackendFailure)
+    server.close()
