Tell a sender that returns too late that its calls are unknown

The timer of an earlier loss of the link forgot the session 170 ms after the call had come, and the sender, back on a new link, was told that the call never came. Each loss now has its own time to return, and a sender whose session is forgotten is told that the fate is unknown. Ruled out: a result lost on the way (results are kept after sending).

Also: a restarted node uses its share at once, nudges are skipped when the feed was faster, settings that change end the process in order.

--- a/mustardshunt/caps/_shares.py
+++ b/mustardshunt/caps/_shares.py
@@ -116,6 +116,10 @@
         self._bucket_by_name: dict[str, _Bucket] = {}
         self._poor_until: dict[tuple[str, str], float] = {}
 
+    def resume(self) -> None:
+        """Spend from now on: the others have counted this node before."""
+        self._usable_from = 0.0
+
     def set_nodes(self, own: str, names: Collection[str]) -> None:
         """Take the nodes among which caps are divided.
 
@@ -180,7 +184,7 @@
         cap = self._cap_by_name[organisation]
         if bucket.level >= LOW_LEVEL * self._depth(cap):
             return False
-        return bucket.demand > self._rate(cap) and self._may_ask(bucket, now)
+        return bucket.demand > self._rate(cap) and _may_ask(bucket, now)
 
     def ask(
         self,
@@ -208,7 +212,7 @@
             None when all nodes lately had nothing, or an ask is under way.
         """
         bucket = self._limited(organisation)
-        if bucket is None or not self._may_ask(bucket, now):
+        if bucket is None or not _may_ask(bucket, now):
             return None
         for node in nodes:
             if self._poor_until.get((organisation, node), 0.0) > now:
@@ -223,7 +227,7 @@
     def is_asking(self, organisation: str, now: float) -> bool:
         """Tell whether an ask is under way."""
         bucket = self._limited(organisation)
-        return bucket is not None and not self._may_ask(bucket, now)
+        return bucket is not None and not _may_ask(bucket, now)
 
     def give(self, organisation: str, wanted: int, now: float) -> int:
         """Take tokens out for another node.
@@ -286,9 +290,6 @@
             return None
         return self._bucket_by_name[organisation]
 
-    def _may_ask(self, bucket: _Bucket, now: float) -> bool:
-        return now - bucket.asked_at >= ASK_SECONDS
-
     def _add(self, organisation: str, bucket: _Bucket, amount: int) -> None:
         depth = self._depth(self._cap_by_name[organisation])
         if not depth:
@@ -341,3 +342,7 @@
         if not self._has_share(cap):
             return 0.0
         return cap.rate * self._factor() / self._sharers(cap)
+
+
+def _may_ask(bucket: _Bucket, now: float) -> bool:
+    return now - bucket.asked_at >= ASK_SECONDS
--- a/mustardshunt/platform/__main__.py
+++ b/mustardshunt/platform/__main__.py
@@ -18,9 +18,9 @@
 from mustardshunt.relay import make_event_loop
 from mustardshunt.sidecar import (
     PlatformAdapter,
+    SettingsFile,
     SidecarSettings,
     SidecarSettingsError,
-    parse_sidecar_settings,
     run_sidecar,
 )
 
@@ -28,13 +28,15 @@
 _EXIT_BAD_SETTINGS: Final = 2
 
 
-async def run_node(settings: SidecarSettings) -> None:
+async def run_node(settings: SidecarSettings, file: SettingsFile) -> None:
     """Run a node until it is asked to stop.
 
     Parameters
     ----------
     settings : SidecarSettings
         Checked settings.
+    file : SettingsFile
+        Where they come from.
     """
     async with aiohttp.ClientSession() as session:
         store = StoreClient(session, settings.platform.address)
@@ -44,22 +46,20 @@
             StoreOperatorSource(store),
             StoreMemberDirectory(store),
         )
-        await run_sidecar(settings, adapter)
+        await run_sidecar(settings, adapter, file)
 
 
 def main() -> int:
     """Read the settings file and run the node; returns the exit code."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, 'sidecar.ini'))
+    file = SettingsFile(path)
     try:
-        settings = parse_sidecar_settings(
-            path.read_text(encoding='utf-8'),
-            str(path),
-        )
+        settings = file.read()
     except (OSError, SidecarSettingsError) as error:
         sys.stderr.write(f'{error}\n')
         return _EXIT_BAD_SETTINGS
     with asyncio.Runner(loop_factory=make_event_loop) as runner:
-        runner.run(run_node(settings))
+        runner.run(run_node(settings, file))
     return 0
 
 
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -23,11 +23,14 @@
     incarnation : str
         Run of the dialling node.
     link : int
-        Rises with each connection that the run opens to this peer.
+        Rises with each connection that the run opens.
+    is_first : bool
+        Whether no earlier connection carried calls that still wait.
     """
 
     incarnation: str
     link: int
+    is_first: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardshunt/sidecar/__init__.py
+++ b/mustardshunt/sidecar/__init__.py
@@ -14,6 +14,7 @@
     PlatformError,
 )
 from mustardshunt.sidecar._settings import (
+    SettingsFile,
     SidecarSettings,
     SidecarSettingsError,
     check_sidecar_settings,
@@ -32,6 +33,7 @@
     'PlatformAdapter',
     'PlatformError',
     'ServerCalls',
+    'SettingsFile',
     'Sidecar',
     'SidecarSettings',
     'SidecarSettingsError',
--- /dev/null
+++ b/mustardshunt/sidecar/_attempt.py
@@ -0,0 +1,108 @@
+"""One request on its way through its attempts."""
+
+from dataclasses import dataclass
+
+from mustardshunt.base import Reason
+from mustardshunt.policy import PolicyInForce, RoutePolicy
+from mustardshunt.relay import Answered, HttpRequest
+from mustardshunt.sidecar._ports import CallerFacts
+from mustardshunt.sidecar._refusals import RefusedError
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What stays the same over all attempts of one request.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        The request.
+    facts : CallerFacts
+        What its headers say.
+    route : RoutePolicy
+        Its route.
+    service : str
+        Service that is to run it.
+    organisation : str
+        Organisation for which it runs, empty if there is none.
+    position : int
+        Position of its rank.
+    is_continuation : bool
+        Whether a request that already runs needs it.
+    head : bytes
+        Header lines that are passed on.
+    started_at : float
+        When it came, in seconds.
+    deadline : float
+        When nobody waits any more.
+    """
+
+    request: HttpRequest
+    facts: CallerFacts
+    route: RoutePolicy
+    service: str
+    organisation: str
+    position: int
+    is_continuation: bool
+    head: bytes
+    started_at: float
+    deadline: float
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the attempts of one request have come to.
+
+    Parameters
+    ----------
+    tried : set of str
+        Names of the members that were tried.
+    runs : int
+        Attempts that have run or may have run.
+    refusals : int
+        Attempts that have not run.
+    last_reason : Reason
+        Why the last of these has not.
+    last_answer : Answered or None
+        Failure that a backend server has answered last.
+    """
+
+    tried: set[str]
+    runs: int = 0
+    refusals: int = 0
+    last_reason: Reason = Reason.NO_BACKEND_SERVER
+    last_answer: Answered | None = None
+
+
+def identify(
+    route: RoutePolicy,
+    facts: CallerFacts,
+    in_force: PolicyInForce,
+) -> str:
+    """Return the organisation whose key came with a request.
+
+    Raises
+    ------
+    RefusedError
+        The key is unknown.
+    """
+    policy = in_force.policy
+    if route.is_open or not policy.organisation_by_name:
+        return ''
+    organisation = policy.organisation_by_key.get(facts.key or '')
+    if organisation is None:
+        raise RefusedError(Reason.UNKNOWN_KEY)
+    return organisation
+
+
+def position_of(
+    route: RoutePolicy,
+    organisation: str,
+    in_force: PolicyInForce,
+) -> int:
+    """Return the position of a request's rank."""
+    rank = route.priority
+    known = in_force.policy.organisation_by_name.get(organisation)
+    if known is not None and known.priority is not None:
+        rank = known.priority
+    return in_force.ranks.position(rank)
--- a/mustardshunt/sidecar/_entry.py
+++ b/mustardshunt/sidecar/_entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 from typing import Final, Protocol
 
 from mustardshunt.base import Clock, Reason
@@ -14,7 +13,7 @@
     RetryKind,
     RouteSplit,
 )
-from mustardshunt.policy import PolicyInForce, PolicyRegistry, RoutePolicy
+from mustardshunt.policy import PolicyRegistry
 from mustardshunt.relay import (
     HOP_HEADERS,
     Answered,
@@ -25,10 +24,23 @@
     NotRun,
     render_headers,
 )
+from mustardshunt.sidecar._attempt import (
+    Attempt,
+    Progress,
+    identify,
+    position_of,
+)
 from mustardshunt.sidecar._dependencies import Dependencies
 from mustardshunt.sidecar._metrics import SidecarMetrics
 from mustardshunt.sidecar._peer_link import CallResult
 from mustardshunt.sidecar._ports import CallerFacts, HeaderDialect
+from mustardshunt.sidecar._refusals import (
+    SHORTEST_RETRY_AFTER,
+    RefusedError,
+    refusal_reply,
+    status_of,
+    unavailable,
+)
 from mustardshunt.sidecar._token_desk import TokenDesk
 
 MS_PER_SECOND: Final = 1000.0
@@ -41,22 +53,9 @@
 # Members that may refuse a call before the entry node gives up; what a node
 # refuses has not reached its backend server.
 MAX_REROUTES: Final = 3
-# Part of the target latency after which a refused caller may come back.
-RETRY_AFTER: Final = 0.4
-SHORTEST_RETRY_AFTER: Final = 0.05
-LONGEST_RETRY_AFTER: Final = 1.5
 # Shorter times left are no use to any backend server.
 LEAST_SECONDS_LEFT: Final = 0.002
 
-_STATUS_BY_REASON: Final = {
-    Reason.BAD_REQUEST: 400,
-    Reason.UNKNOWN_KEY: 401,
-    Reason.UNKNOWN_ROUTE: 404,
-    Reason.RATE_EXCEEDED: 429,
-    Reason.BACKEND_SERVER_LOST: 502,
-    Reason.DEADLINE_EXCEEDED: 504,
-}
-_UNAVAILABLE: Final = 503
 _PERCENT: Final = 100
 _SERVER_ERROR: Final = 500
 _GATEWAY_TIMEOUT: Final = 504
@@ -74,50 +73,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
-    """What stays the same over all attempts of one request."""
-
-    request: HttpRequest
-    facts: CallerFacts
-    route: RoutePolicy
-    service: str
-    organisation: str
-    position: int
-    is_continuation: bool
-    head: bytes
-    started_at: float
-    deadline: float
-
-
-@dataclass(slots=True)
-class _Progress:
-    """What the attempts of one request have come to."""
-
-    tried: set[str]
-    runs: int = 0
-    refusals: int = 0
-    last_reason: Reason = Reason.NO_BACKEND_SERVER
-    last_answer: Answered | None = None
-
-
-class RefusedError(Exception):
-    """A request is answered by the node itself.
-
-    Parameters
-    ----------
-    reason : Reason
-        Why.
-    retry_after : float
-        Seconds after which the caller may come back, 0 if it should not.
-    """
-
-    def __init__(self, reason: Reason, retry_after: float = 0.0) -> None:
-        super().__init__(reason.value)
-        self.reason = reason
-        self.retry_after = retry_after
-
-
 class Entry:
     """Serves the requests of the callers beside this node.
 
@@ -213,7 +168,7 @@
         request: HttpRequest,
         facts: CallerFacts,
         now: float,
-    ) -> _Attempt:
+    ) -> Attempt:
         in_force = self._registry.in_force
         if in_force is None or self.is_stopped:
             raise RefusedError(Reason.NOT_READY, SHORTEST_RETRY_AFTER * 4)
@@ -221,7 +176,7 @@
         route = in_force.routes.find(host, request.target)
         if route is None:
             raise RefusedError(Reason.UNKNOWN_ROUTE)
-        organisation = _identify(route, facts, in_force)
+        organisation = identify(route, facts, in_force)
         if not facts.request_id:
             raise RefusedError(Reason.BAD_REQUEST)
         left = route.timeout
@@ -231,21 +186,21 @@
         service = self._split.choose(route)
         if is_continuation:
             self.dependencies.note_call(service, now)
-        return _Attempt(
+        return Attempt(
             request,
             facts,
             route,
             service,
             organisation,
-            _position(route, organisation, in_force),
+            position_of(route, organisation, in_force),
             is_continuation and bool(in_force.policy.organisation_by_name),
             render_headers(request.raw_headers, self._dropped),
             now,
             now + left,
         )
 
-    async def _serve(self, attempt: _Attempt) -> HttpReply:
-        progress = _Progress(tried=set())
+    async def _serve(self, attempt: Attempt) -> HttpReply:
+        progress = Progress(tried=set())
         await self._take_token(attempt)
         self._retries.deposit(
             attempt.service,
@@ -267,7 +222,7 @@
                 raise
         return HttpReply(answer.status, answer.head, answer.body)
 
-    async def _take_token(self, attempt: _Attempt) -> None:
+    async def _take_token(self, attempt: Attempt) -> None:
         organisation = attempt.organisation
         if not organisation:
             return
@@ -282,8 +237,8 @@
 
     async def _try_members(
         self,
-        attempt: _Attempt,
-        progress: _Progress,
+        attempt: Attempt,
+        progress: Progress,
     ) -> Answered:
         while True:
             load = self._choose(attempt, progress)
@@ -296,18 +251,19 @@
             else:
                 self._note_lost(attempt, progress, result)
 
-    def _choose(self, attempt: _Attempt, progress: _Progress) -> MemberLoad:
+    def _choose(self, attempt: Attempt, progress: Progress) -> MemberLoad:
         now = self._clock.now()
+        patience = attempt.route.target_latency
         load = self._balancer.choose(attempt.service, progress.tried, now)
         if load is None:
-            raise self._unavailable(attempt, progress.last_reason)
+            raise unavailable(progress.last_reason, patience)
         is_new = not progress.tried and not attempt.is_continuation
         if is_new and attempt.position + random.random() >= load.cutoff:
-            raise self._unavailable(attempt, Reason.OVERLOADED)
+            raise unavailable(Reason.OVERLOADED, patience)
         progress.tried.add(load.member.name)
         return load
 
-    async def _send(self, attempt: _Attempt, load: MemberLoad) -> CallResult:
+    async def _send(self, attempt: Attempt, load: MemberLoad) -> CallResult:
         now = self._clock.now()
         left = attempt.deadline - now
         if left < LEAST_SECONDS_LEFT:
@@ -324,7 +280,7 @@
             self._observe(attempt, load, result, now)
         return result
 
-    def _make_call(self, attempt: _Attempt, left: float) -> Call:
+    def _make_call(self, attempt: Attempt, left: float) -> Call:
         patience = PATIENCE
         if attempt.is_continuation:
             patience = CONTINUATION_PATIENCE
@@ -350,7 +306,7 @@
 
     def _observe(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         load: MemberLoad,
         result: CallResult | None,
         sent_at: float,
@@ -382,8 +338,8 @@
 
     def _may_improve(
         self,
-        attempt: _Attempt,
-        progress: _Progress,
+        attempt: Attempt,
+        progress: Progress,
         answer: Answered,
     ) -> bool:
         if answer.status < _SERVER_ERROR or answer.status == _GATEWAY_TIMEOUT:
@@ -398,27 +354,27 @@
 
     def _note_not_run(
         self,
-        attempt: _Attempt,
-        progress: _Progress,
+        attempt: Attempt,
+        progress: Progress,
         result: NotRun,
     ) -> None:
         reason = Reason(result.reason)
         progress.last_reason = reason
         progress.refusals += 1
         if progress.refusals > MAX_REROUTES:
-            raise self._unavailable(attempt, reason)
+            raise unavailable(reason, attempt.route.target_latency)
         if reason is not Reason.REJECTED:
             return
         # The backend server itself turned it away, so another send counts
         # as a repeat at the service.
         now = self._clock.now()
         if not self._take_retry(attempt, now):
-            raise self._unavailable(attempt, reason)
+            raise unavailable(reason, attempt.route.target_latency)
 
     def _note_lost(
         self,
-        attempt: _Attempt,
-        progress: _Progress,
+        attempt: Attempt,
+        progress: Progress,
         result: Lost,
     ) -> None:
         progress.runs += 1
@@ -428,8 +384,8 @@
 
     def _may_repeat(
         self,
-        attempt: _Attempt,
-        progress: _Progress,
+        attempt: Attempt,
+        progress: Progress,
         why: str,
     ) -> bool:
         route = attempt.route
@@ -449,18 +405,12 @@
         )
         return True
 
-    def _take_retry(self, attempt: _Attempt, now: float) -> bool:
+    def _take_retry(self, attempt: Attempt, now: float) -> bool:
         kind = RetryKind.REQUEST
         if attempt.is_continuation:
             kind = RetryKind.CONTINUATION
         return self._retries.take(attempt.service, kind, now)
 
-    def _unavailable(self, attempt: _Attempt, reason: Reason) -> RefusedError:
-        pause = attempt.route.target_latency * RETRY_AFTER
-        pause *= 0.75 + random.random() / 2
-        bounded = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, pause))
-        return RefusedError(reason, bounded)
-
     def _refuse(
         self,
         refusal: RefusedError,
@@ -470,7 +420,6 @@
         started_at: float,
     ) -> HttpReply:
         now = self._clock.now()
-        status = _STATUS_BY_REASON.get(refusal.reason, _UNAVAILABLE)
         self._log.record(
             'request-refused',
             now,
@@ -478,7 +427,7 @@
             route=route,
             organisation=organisation,
             reason=refusal.reason.value,
-            status=status,
+            status=status_of(refusal.reason),
             held_ms=round((now - started_at) * MS_PER_SECOND, 1),
             policy=self._registry.version,
         )
@@ -486,12 +435,9 @@
             passed = now - started_at
             reason = refusal.reason.value
             self._metrics.count_request('', '', reason, passed)
-        head = b''
-        if refusal.retry_after > 0:
-            head = b'Retry-After: %.3f\r\n' % refusal.retry_after
-        return HttpReply(status, head, refusal.reason.value.encode())
+        return refusal_reply(refusal)
 
-    def _count(self, attempt: _Attempt, outcome: str) -> None:
+    def _count(self, attempt: Attempt, outcome: str) -> None:
         route = attempt.route.name
         passed = self._clock.now() - attempt.started_at
         self._metrics.count_request(
@@ -500,29 +446,3 @@
             outcome,
             passed,
         )
-
-
-def _identify(
-    route: RoutePolicy,
-    facts: CallerFacts,
-    in_force: PolicyInForce,
-) -> str:
-    policy = in_force.policy
-    if route.is_open or not policy.organisation_by_name:
-        return ''
-    organisation = policy.organisation_by_key.get(facts.key or '')
-    if organisation is None:
-        raise RefusedError(Reason.UNKNOWN_KEY)
-    return organisation
-
-
-def _position(
-    route: RoutePolicy,
-    organisation: str,
-    in_force: PolicyInForce,
-) -> int:
-    rank = route.priority
-    known = in_force.policy.organisation_by_name.get(organisation)
-    if known is not None and known.priority is not None:
-        rank = known.priority
-    return in_force.ranks.position(rank)
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from mustardshunt.caps import JOIN_SECONDS, CapBounds, CapShares
@@ -36,7 +36,11 @@
     OperatorSource,
 )
 from mustardshunt.sidecar._sender import CallSender, LocalSession
-from mustardshunt.sidecar._settings import SidecarSettings
+from mustardshunt.sidecar._settings import (
+    SettingsFile,
+    SidecarSettings,
+    SidecarSettingsError,
+)
 from mustardshunt.sidecar._sync import Dependency, MemberSync, OperatorSync
 from mustardshunt.sidecar._token_desk import TokenDesk
 from mustardshunt.sidecar._view import DeploymentView, ViewParts
@@ -45,6 +49,8 @@
 # Time between looks at the queue while calls wait in it.
 TICK_SECONDS: Final = 0.02
 REVIEW_SECONDS: Final = 0.1
+# The settings file may change without a signal.
+SETTINGS_SECONDS: Final = 1.0
 # Callers notice within two readiness checks, a second apart, that the node
 # is stopping; until then they open connections.
 DRAIN_SECONDS: Final = 2.6
@@ -97,6 +103,8 @@
         The platform.
     log : EventLog
         Takes decisions and changes.
+    file : SettingsFile or None
+        Where the settings come from, None when they do not change.
     """
 
     def __init__(
@@ -104,8 +112,10 @@
         settings: SidecarSettings,
         adapter: PlatformAdapter,
         log: EventLog,
+        file: SettingsFile | None = None,
     ) -> None:
         self._settings = settings
+        self._file = file
         self._adapter = adapter
         self._log = log
         self._clock = LoopClock()
@@ -174,6 +184,7 @@
             self._own,
             self._view.take_members,
             source,
+            caps.resume,
             Dependency('members', log, self._metrics),
         )
         tokens = TokenDesk(caps, self._view, self._clock)
@@ -218,7 +229,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.ask_to_stop)
         loop.add_signal_handler(signal.SIGINT, self.ask_to_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._log.record(
             'start',
             self._clock.now(),
@@ -277,6 +288,7 @@
 
     async def _run_ticks(self) -> None:
         reviewed_at = 0.0
+        looked_at = self._clock.now()
         while True:
             is_busy = self._callee.gate.waiting
             await asyncio.sleep(TICK_SECONDS if is_busy else REVIEW_SECONDS)
@@ -292,6 +304,10 @@
                     now,
                 )
                 self._log.flush()
+            if now - looked_at >= SETTINGS_SECONDS:
+                looked_at = now
+                if self._file is not None and self._file.has_changed():
+                    self._reload()
 
     async def _drain(self) -> None:
         asked_at = self._clock.now()
@@ -362,9 +378,32 @@
     def _lose_server(self) -> None:
         self._callee.lose_server()
 
-    def _note_reload(self) -> None:
-        # All settings are addresses and names that hold for the whole run.
-        self._log.record('reload', self._clock.now(), outcome='no change')
+    def _reload(self) -> None:
+        if self._file is None:
+            return
+        try:
+            settings = self._file.read()
+        except (OSError, SidecarSettingsError) as error:
+            self._log.record(
+                'reload',
+                self._clock.now(),
+                outcome='kept the old settings',
+                error=str(error),
+            )
+            return
+        changed = _changed_sections(self._settings, settings)
+        outcome = 'no change'
+        if changed:
+            # Names, addresses and bounds hold for a whole run: the process
+            # ends in order and starts again with the new ones.
+            outcome = 'restart'
+            self.ask_to_stop()
+        self._log.record(
+            'reload',
+            self._clock.now(),
+            outcome=outcome,
+            changed=changed,
+        )
 
     def _refresh_metrics(self) -> None:
         view = self._callee.view()
@@ -379,6 +418,21 @@
         self._metrics.members.labels('known').set(len(known))
 
 
+def _changed_sections(
+    old: SidecarSettings,
+    new: SidecarSettings,
+) -> list[str]:
+    # Whether this is the first start says nothing once the process runs.
+    new_node = replace(new.node, first_start=old.node.first_start)
+    sections = {
+        'node': old.node == new_node,
+        'listen': old.listen == new.listen,
+        'platform': old.platform == new.platform,
+        'bounds': old.bounds == new.bounds,
+    }
+    return [name for name, is_same in sections.items() if not is_same]
+
+
 def _retry_bounds(settings: SidecarSettings) -> RetryBounds:
     bounds = settings.bounds
     return RetryBounds(
@@ -391,6 +445,7 @@
 async def run_sidecar(
     settings: SidecarSettings,
     adapter: PlatformAdapter,
+    file: SettingsFile,
 ) -> None:
     """Run a sidecar until it is asked to stop.
 
@@ -400,6 +455,8 @@
         Checked settings.
     adapter : PlatformAdapter
         The platform.
+    file : SettingsFile
+        Where the settings come from.
     """
     log = make_event_log(settings.node.name, settings.node.log_level)
-    await Sidecar(settings, adapter, log).run()
+    await Sidecar(settings, adapter, log, file).run()
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -1,6 +1,7 @@
 """Link to another node, over which this node sends calls: one task each."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Final, Protocol, TypeAlias
 
@@ -42,6 +43,10 @@
 # Calls on a lost link wait this long for the new one to tell their fate.
 FATE_SECONDS: Final = 1.2
 
+# All links of a process are numbered together, so that the later one to a
+# node is known also when a link is made anew.
+_LINK_NUMBERS: Final = itertools.count(1)
+
 CallResult: TypeAlias = Answered | NotRun | Lost
 
 
@@ -105,7 +110,7 @@
         self._metrics = metrics
         self._stream: FrameStream | None = None
         self._dialled: FrameStream | None = None
-        self._links = 0
+        self._has_opened = False
         self._peer_incarnation = ''
         self._waiting: dict[int, asyncio.Future[CallResult]] = {}
         self._pause = FIRST_PAUSE
@@ -166,8 +171,9 @@
             self._fail_all('node is out of reach')
             self._slow_down()
             return
-        self._links += 1
-        stream.send(Hello(self._incarnation, self._links))
+        link = next(_LINK_NUMBERS)
+        stream.send(Hello(self._incarnation, link, not self._has_opened))
+        self._has_opened = True
         if self._waiting:
             stream.send(FateAsk(tuple(self._waiting)))
         self._dialled = stream
@@ -224,7 +230,6 @@
                 self._loop.time(),
                 peer=self.member.name,
                 incarnation=state.incarnation,
-                link=self._links,
             )
         self._events.peer_state(self.member.name, state)
         self._events.peer_revision(self.member.name, state.revision)
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -70,10 +70,19 @@
         Run of the sending node.
     callee : Callee
         Runs the calls.
+    is_whole : bool
+        Whether all calls of the run are known, those of earlier links
+        included.
     """
 
-    def __init__(self, incarnation: str, callee: Callee) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        callee: Callee,
+        is_whole: bool = True,
+    ) -> None:
         self.incarnation = incarnation
+        self._is_whole = is_whole
         self.stream: FrameStream | None = None
         self.link = 0
         self._callee = callee
@@ -131,7 +140,7 @@
         self._result_by_number.clear()
 
     def _missing(self, number: int) -> CallResult:
-        if number <= self._highest:
+        if number <= self._highest or not self._is_whole:
             return Lost(number, 'the answer is no longer known')
         # Calls come in the order of their numbers, so this one never came;
         # being barred, it never will run.
@@ -225,14 +234,20 @@
                 session.stream = None
                 self._callee.board.detach(session)
                 loop = asyncio.get_running_loop()
-                loop.call_later(RETURN_SECONDS, self._forget, session)
+                loop.call_later(
+                    RETURN_SECONDS, self._forget, session, session.link
+                )
 
     def _open(self, frame: Frame, stream: FrameStream) -> PeerSession:
         if not isinstance(frame, Hello):
             raise FrameError(f'expected hello, found {type(frame).__name__}')
         session = self._session_by_incarnation.get(frame.incarnation)
         if session is None:
-            session = PeerSession(frame.incarnation, self._callee)
+            session = PeerSession(
+                frame.incarnation,
+                self._callee,
+                frame.is_first,
+            )
             self._session_by_incarnation[frame.incarnation] = session
         if frame.link <= session.link:
             raise FrameError('a newer link is open')
@@ -279,8 +294,10 @@
         if version > frame.above:
             stream.send(PolicyDocument(document))
 
-    def _forget(self, session: PeerSession) -> None:
-        if session.stream is None:
+    def _forget(self, session: PeerSession, link: int) -> None:
+        # A later link may have been opened and lost meanwhile, and its own
+        # time to return runs still.
+        if session.stream is None and session.link == link:
             session.give_up()
             self._session_by_incarnation.pop(session.incarnation, None)
 
--- /dev/null
+++ b/mustardshunt/sidecar/_refusals.py
@@ -0,0 +1,79 @@
+"""Requests that a node answers itself."""
+
+import random
+from typing import Final
+
+from mustardshunt.base import Reason
+from mustardshunt.relay import HttpReply
+
+# Part of the target latency after which a refused caller may come back.
+RETRY_AFTER: Final = 0.4
+SHORTEST_RETRY_AFTER: Final = 0.05
+LONGEST_RETRY_AFTER: Final = 1.5
+
+_STATUS_BY_REASON: Final = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.RATE_EXCEEDED: 429,
+    Reason.BACKEND_SERVER_LOST: 502,
+    Reason.DEADLINE_EXCEEDED: 504,
+}
+_UNAVAILABLE: Final = 503
+
+
+class RefusedError(Exception):
+    """A request is answered by the node itself.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    retry_after : float
+        Seconds after which the caller may come back, 0 if it should not.
+    """
+
+    def __init__(self, reason: Reason, retry_after: float = 0.0) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+def unavailable(reason: Reason, target_latency: float) -> RefusedError:
+    """Return the refusal of a request that has not run.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    target_latency : float
+        Seconds within which the request should be answered.
+    """
+    pause = target_latency * RETRY_AFTER
+    # Callers that were refused together do not come back together.
+    pause *= 0.75 + random.random() / 2
+    bounded = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, pause))
+    return RefusedError(reason, bounded)
+
+
+def status_of(reason: Reason) -> int:
+    """Return the HTTP status of a refusal.
+
+    Examples
+    --------
+    >>> status_of(Reason.OVERLOADED)
+    503
+    """
+    return _STATUS_BY_REASON.get(reason, _UNAVAILABLE)
+
+
+def refusal_reply(refusal: RefusedError) -> HttpReply:
+    """Return the reply to a request that is refused."""
+    head = b''
+    if refusal.retry_after > 0:
+        head = b'Retry-After: %.3f\r\n' % refusal.retry_after
+    return HttpReply(
+        status_of(refusal.reason),
+        head,
+        refusal.reason.value.encode(),
+    )
--- a/mustardshunt/sidecar/_settings.py
+++ b/mustardshunt/sidecar/_settings.py
@@ -2,6 +2,7 @@
 
 import configparser
 from dataclasses import MISSING, dataclass, fields
+from pathlib import Path
 from typing import Any, Final
 
 from mustardshunt.base import (
@@ -199,6 +200,46 @@
     })
 
 
+class SettingsFile:
+    """A settings file that may change while the node runs.
+
+    Parameters
+    ----------
+    path : Path
+        Where the file is.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._stamp: tuple[int, int] | None = None
+
+    def read(self) -> SidecarSettings:
+        """Return the settings.
+
+        Raises
+        ------
+        OSError
+            The file cannot be read.
+        SidecarSettingsError
+            The file has faults.
+        """
+        self._stamp = self._read_stamp()
+        text = self._path.read_text(encoding='utf-8')
+        return parse_sidecar_settings(text, str(self._path))
+
+    def has_changed(self) -> bool:
+        """Tell whether the file is another one than was read last."""
+        try:
+            return self._read_stamp() != self._stamp
+        except OSError:
+            # A file that is being replaced is looked at the next time.
+            return False
+
+    def _read_stamp(self) -> tuple[int, int]:
+        status = self._path.stat()
+        return (status.st_mtime_ns, status.st_size)
+
+
 def _read(
     text: str,
     file: str,
--- a/mustardshunt/sidecar/_state_board.py
+++ b/mustardshunt/sidecar/_state_board.py
@@ -6,9 +6,9 @@
 from mustardshunt.upstream import GateView
 
 # Changes of load are shown at most this often; other changes at once.
-SHOW_SECONDS: Final = 0.2
+SHOW_SECONDS: Final = 0.5
 # Changes of load below this part of the limit are not worth the bytes.
-SHOWN_LOAD_STEP: Final = 0.15
+SHOWN_LOAD_STEP: Final = 0.25
 SHOWN_CUTOFF_STEP: Final = 0.1
 
 
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -19,7 +19,7 @@
 
 # How long a call for changes waits for one. Peers tell of changes that a
 # silent feed has missed, so this need not be short.
-FEED_SECONDS: Final = 9.0
+FEED_SECONDS: Final = 18.0
 # Changes that follow each other are read together.
 GATHER_SECONDS: Final = 0.2
 FIRST_PAUSE: Final = 0.2
@@ -121,11 +121,14 @@
         self._take = take
         self._pause = _Pause(random)
         self._dependency = dependency
-        self._reread: asyncio.Event = asyncio.Event()
+        self._reread = asyncio.Event()
+        self._wanted = -1
+        self._seen = -1
         self.revision = -1
 
-    def nudge(self) -> None:
-        """Read again soon, because a peer knows of a newer change."""
+    def nudge(self, revision: int) -> None:
+        """Read again soon, unless the feed brings what a peer knows."""
+        self._wanted = max(self._wanted, revision)
         self._reread.set()
 
     async def run(self) -> None:
@@ -146,6 +149,8 @@
             await self._reread.wait()
             await asyncio.sleep(NUDGE_SECONDS)
             self._reread.clear()
+            if self._seen >= self._wanted:
+                continue
             try:
                 self._accept(await self._source.read())
             except PlatformError as error:
@@ -164,6 +169,7 @@
 
     def _accept(self, news: OperatorNews) -> None:
         self._dependency.succeed()
+        self._seen = max(self._seen, news.revision)
         self._take(news)
 
 
@@ -180,6 +186,8 @@
         Takes the members by name when they have changed.
     random : RandomSource
         Spreads the calls of many nodes.
+    on_former : callable
+        Called when an earlier run of this node has left an entry.
     dependency : Dependency
         Logs losses of the platform.
     """
@@ -190,8 +198,10 @@
         own: Member,
         take: Callable[[dict[str, Member]], None],
         random: RandomSource,
+        on_former: Callable[[], None],
         dependency: Dependency,
     ) -> None:
+        self._on_former = on_former
         self._directory = directory
         self._own = own
         self._take = take
@@ -255,6 +265,8 @@
         for name in news.removed:
             by_name.pop(name, None)
         own = by_name.get(self._own.name)
+        if own is not None and own != self._own:
+            self._on_former()
         if own != self._own and news.is_whole | (
             self._own.name in news.removed
         ):
--- a/mustardshunt/sidecar/_view.py
+++ b/mustardshunt/sidecar/_view.py
@@ -171,7 +171,7 @@
         """Take the newest change that a peer knows."""
         if revision <= self._revision or self._sync is None:
             return
-        self._sync.nudge()
+        self._sync.nudge(revision)
         link = None if self._links is None else self._links.get(name)
         if link is not None:
             link.ask_policy(self._parts.registry.version)
--- a/mustardshunt/sidecar/tests/test_settings.py
+++ b/mustardshunt/sidecar/tests/test_settings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mustardshunt.sidecar import (
+    SettingsFile,
     SidecarSettingsError,
     check_sidecar_settings,
     parse_sidecar_settings,
@@ -65,3 +66,17 @@
     text = fill_in().replace('log_level', 'log_levle')
     with pytest.raises(SidecarSettingsError, match="did you mean 'log_level'"):
         parse_sidecar_settings(text, 'a.ini')
+
+
+def test_file_that_changes_is_noticed_once(tmp_path: Path):
+    path = tmp_path / 'a.ini'
+    path.write_text(fill_in(), encoding='utf-8')
+    file = SettingsFile(path)
+    file.read()
+    assert not file.has_changed()
+    path.write_text(fill_in(service='another'), encoding='utf-8')
+    assert file.has_changed()
+    assert file.read().node.service == 'another'
+    assert not file.has_changed()
+    path.unlink()
+    assert not file.has_changed()
