Log what decided a cap, a lost attempt and a late answer; keep the platform's names in the adapter

A failed request's id led to its refusal but not to what decided it. The lines cap-reached, attempt-lost and answered-late carry the share, the member and its slowness.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo lint format types imports check golden bench surge measure capacity
+.PHONY: setup test demo lint format types imports names check golden bench surge measure capacity
 
 # Recreates the environment when the lock file changes.
 $(VENV)/.installed: requirements.lock pyproject.toml
@@ -49,4 +49,10 @@
 imports: setup
 	$(BIN)/lint-imports
 
-check: lint types imports
+# The platform's names may stand only in the adapter, the stand-ins and tests.
+PLATFORM_NAMES := rows-(tx|get|feed|parts)|weighted_targets|auth_exempt|target_latency|cold_remaining|heartbeat_url|Mustardshunt-(Deadline|Request-Id|Response-Stamp|Expect|Tenant|Caller|Not-Executed|Cold)
+
+names:
+	! git grep -nIE '$(PLATFORM_NAMES)' -- 'mustardshunt/*.py' ':!mustardshunt/platform/*' ':!mustardshunt/standin/*' ':!*/tests/*'
+
+check: lint types imports names
--- a/mustardshunt/caps/__init__.py
+++ b/mustardshunt/caps/__init__.py
@@ -4,7 +4,8 @@
     JOIN_SECONDS,
     CapBounds,
     CapShares,
+    ShareView,
     TokenAsk,
 )
 
-__all__ = ['JOIN_SECONDS', 'CapBounds', 'CapShares', 'TokenAsk']
+__all__ = ['JOIN_SECONDS', 'CapBounds', 'CapShares', 'ShareView', 'TokenAsk']
--- a/mustardshunt/caps/_shares.py
+++ b/mustardshunt/caps/_shares.py
@@ -64,6 +64,34 @@
     wanted: int
 
 
+@dataclass(frozen=True, slots=True)
+class ShareView:
+    """What a node holds of an organisation's rate.
+
+    Parameters
+    ----------
+    level : float
+        Tokens that are there.
+    depth : float
+        Most tokens that can be there.
+    rate : float
+        Tokens that accrue in a second.
+    nodes : int
+        Nodes among which the rate is divided.
+    """
+
+    level: float
+    depth: float
+    rate: float
+    nodes: int
+
+    def seconds_until_token(self) -> float:
+        """Return when this node's own share allows the next request."""
+        if self.rate <= 0:
+            return AHEAD_SECONDS
+        return max(0.0, 1.0 - self.level) / self.rate
+
+
 @dataclass(slots=True)
 class _Bucket:
     level: float
@@ -275,15 +303,18 @@
         bucket.received_at = now
         self._add(organisation, bucket, amount)
 
-    def seconds_until_token(self, organisation: str) -> float:
-        """Return when the own share allows the next request."""
+    def snapshot(self, organisation: str) -> ShareView:
+        """Return what this node holds of an organisation's rate."""
         bucket = self._limited(organisation)
         if bucket is None:
-            return 0.0
-        rate = self._rate(self._cap_by_name[organisation])
-        if rate <= 0:
-            return AHEAD_SECONDS
-        return max(0.0, 1.0 - bucket.level) / rate
+            return ShareView(1.0, 1.0, 1.0, self._nodes)
+        cap = self._cap_by_name[organisation]
+        return ShareView(
+            bucket.level,
+            self._depth(cap),
+            self._rate(cap),
+            self._nodes,
+        )
 
     def _limited(self, organisation: str) -> _Bucket | None:
         if organisation not in self._cap_by_name:
--- a/mustardshunt/caps/tests/test_shares.py
+++ b/mustardshunt/caps/tests/test_shares.py
@@ -141,4 +141,5 @@
     shares = CapShares(BOUNDS, starts_full=False)
     shares.set_caps({'o': OrganisationPolicy('o', None, 0.0, 0.0)}, 0.0)
     assert shares.spend('o', 0.0)
-    assert shares.seconds_until_token('o') == pytest.approx(0.0)
+    seconds = shares.snapshot('o').seconds_until_token()
+    assert seconds == pytest.approx(0.0)
--- a/mustardshunt/platform/_policy.py
+++ b/mustardshunt/platform/_policy.py
@@ -77,7 +77,7 @@
         # Unknown kinds are the ones that must not be repeated.
         is_idempotent=entry.get('kind') == _IDEMPOTENT,
         timeout=timeout,
-        target_latency=read_seconds(entry, 'target_latency', timeout),
+        latency_objective=read_seconds(entry, 'target_latency', timeout),
         priority=read_whole(entry, 'priority', 0),
         parts=_decode_parts(entry),
         max_attempts=max(1, read_whole(entry, 'max_attempts', 1)),
--- a/mustardshunt/platform/tests/test_translation.py
+++ b/mustardshunt/platform/tests/test_translation.py
@@ -74,7 +74,7 @@
     assert policy.version == 7
     assert sorted(policy.route_by_name) == ['good', 'unknown-kind']
     route = policy.route_by_name['good']
-    assert (route.host, route.timeout, route.target_latency) == (
+    assert (route.host, route.timeout, route.latency_objective) == (
         'h.example',
         1.5,
         1.2,
--- a/mustardshunt/policy/_model.py
+++ b/mustardshunt/policy/_model.py
@@ -36,7 +36,7 @@
         Whether a request may run more than once.
     timeout : float
         Seconds for which a request may be kept waiting.
-    target_latency : float
+    latency_objective : float
         Seconds within which an answer has its full value.
     priority : int
         Rank of the route, 0 is the most important.
@@ -53,7 +53,7 @@
     prefix: str
     is_idempotent: bool
     timeout: float
-    target_latency: float
+    latency_objective: float
     priority: int
     parts: tuple[RoutePart, ...]
     max_attempts: int
--- a/mustardshunt/sidecar/_attempt.py
+++ b/mustardshunt/sidecar/_attempt.py
@@ -65,6 +65,10 @@
         Why the last of these has not.
     last_answer : Answered or None
         Failure that a backend server has answered last.
+    member : str
+        Name of the member that was tried last.
+    slowness : float
+        Its latency relative to the other members, before this attempt.
     """
 
     tried: set[str]
@@ -72,6 +76,8 @@
     refusals: int = 0
     last_reason: Reason = Reason.NO_BACKEND_SERVER
     last_answer: Answered | None = None
+    member: str = ''
+    slowness: float = 1.0
 
 
 def identify(
--- a/mustardshunt/sidecar/_entry.py
+++ b/mustardshunt/sidecar/_entry.py
@@ -220,19 +220,51 @@
             else:
                 self._tokens.give_back(attempt.organisation)
                 raise
+        self._note_late(attempt, progress)
         return HttpReply(answer.status, answer.head, answer.body)
 
+    def _note_late(self, attempt: Attempt, progress: Progress) -> None:
+        now = self._clock.now()
+        held = now - attempt.started_at
+        if held <= attempt.route.latency_objective:
+            return
+        self._log.record(
+            'answered-late',
+            now,
+            request=attempt.facts.request_id,
+            route=attempt.route.name,
+            held_ms=round(held * MS_PER_SECOND, 1),
+            objective_ms=round(
+                attempt.route.latency_objective * MS_PER_SECOND,
+            ),
+            member=progress.member,
+            slowness=round(progress.slowness, 2),
+            runs=progress.runs,
+            refusals=progress.refusals,
+        )
+
     async def _take_token(self, attempt: Attempt) -> None:
         organisation = attempt.organisation
         if not organisation:
             return
-        patience = attempt.route.target_latency
+        patience = attempt.route.latency_objective
         if await self._tokens.take(organisation, patience):
             return
-        pause = self._tokens.seconds_until_token(organisation)
+        share = self._tokens.snapshot(organisation)
+        self._log.record(
+            'cap-reached',
+            self._clock.now(),
+            request=attempt.facts.request_id,
+            organisation=organisation,
+            level=round(share.level, 2),
+            depth=round(share.depth, 2),
+            rate=round(share.rate, 2),
+            nodes=share.nodes,
+            policy=self._registry.version,
+        )
         raise RefusedError(
             Reason.RATE_EXCEEDED,
-            max(SHORTEST_RETRY_AFTER, pause),
+            max(SHORTEST_RETRY_AFTER, share.seconds_until_token()),
         )
 
     async def _try_members(
@@ -253,7 +285,7 @@
 
     def _choose(self, attempt: Attempt, progress: Progress) -> MemberLoad:
         now = self._clock.now()
-        patience = attempt.route.target_latency
+        patience = attempt.route.latency_objective
         load = self._balancer.choose(attempt.service, progress.tried, now)
         if load is None:
             raise unavailable(progress.last_reason, patience)
@@ -261,6 +293,8 @@
         if is_new and attempt.position + random.random() >= load.cutoff:
             raise unavailable(Reason.OVERLOADED, patience)
         progress.tried.add(load.member.name)
+        progress.member = load.member.name
+        progress.slowness = load.slowness
         return load
 
     async def _send(self, attempt: Attempt, load: MemberLoad) -> CallResult:
@@ -292,7 +326,7 @@
             request_id=attempt.facts.request_id,
             remaining_ms=int(left * MS_PER_SECOND),
             patience_ms=int(
-                attempt.route.target_latency * patience * MS_PER_SECOND
+                attempt.route.latency_objective * patience * MS_PER_SECOND
             ),
             position=attempt.position,
             is_continuation=attempt.is_continuation,
@@ -362,14 +396,14 @@
         progress.last_reason = reason
         progress.refusals += 1
         if progress.refusals > MAX_REROUTES:
-            raise unavailable(reason, attempt.route.target_latency)
+            raise unavailable(reason, attempt.route.latency_objective)
         if reason is not Reason.REJECTED:
             return
         # The backend server itself turned it away, so another send counts
         # as a repeat at the service.
         now = self._clock.now()
         if not self._take_retry(attempt, now):
-            raise unavailable(reason, attempt.route.target_latency)
+            raise unavailable(reason, attempt.route.latency_objective)
 
     def _note_lost(
         self,
@@ -378,6 +412,15 @@
         result: Lost,
     ) -> None:
         progress.runs += 1
+        self._log.record(
+            'attempt-lost',
+            self._clock.now(),
+            request=attempt.facts.request_id,
+            route=attempt.route.name,
+            member=progress.member,
+            how=result.reason,
+            is_idempotent=attempt.route.is_idempotent,
+        )
         if self._may_repeat(attempt, progress, result.reason):
             return
         raise RefusedError(Reason.BACKEND_SERVER_LOST)
--- a/mustardshunt/sidecar/_refusals.py
+++ b/mustardshunt/sidecar/_refusals.py
@@ -39,17 +39,17 @@
         self.retry_after = retry_after
 
 
-def unavailable(reason: Reason, target_latency: float) -> RefusedError:
+def unavailable(reason: Reason, latency_objective: float) -> RefusedError:
     """Return the refusal of a request that has not run.
 
     Parameters
     ----------
     reason : Reason
         Why.
-    target_latency : float
+    latency_objective : float
         Seconds within which the request should be answered.
     """
-    pause = target_latency * RETRY_AFTER
+    pause = latency_objective * RETRY_AFTER
     # Callers that were refused together do not come back together.
     pause *= 0.75 + random.random() / 2
     bounded = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, pause))
--- a/mustardshunt/sidecar/_token_desk.py
+++ b/mustardshunt/sidecar/_token_desk.py
@@ -4,7 +4,7 @@
 from typing import Final, Protocol
 
 from mustardshunt.base import Clock
-from mustardshunt.caps import CapShares, TokenAsk
+from mustardshunt.caps import CapShares, ShareView, TokenAsk
 
 # Part of the target latency for which a request waits for a token.
 TOKEN_PATIENCE: Final = 0.12
@@ -47,14 +47,14 @@
         self._clock = clock
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
 
-    async def take(self, organisation: str, target_latency: float) -> bool:
+    async def take(self, organisation: str, latency_objective: float) -> bool:
         """Spend one request; False when its organisation is over its cap.
 
         Parameters
         ----------
         organisation : str
             Name of the organisation.
-        target_latency : float
+        latency_objective : float
             Seconds within which the request should be answered.
         """
         now = self._clock.now()
@@ -62,7 +62,7 @@
             if self._shares.is_low(organisation, now):
                 self._ask(organisation, now)
             return True
-        latest = now + min(LONGEST_WAIT, target_latency * TOKEN_PATIENCE)
+        latest = now + min(LONGEST_WAIT, latency_objective * TOKEN_PATIENCE)
         while now < latest:
             self._ask(organisation, now)
             if not self._shares.is_asking(organisation, now):
@@ -78,9 +78,9 @@
         if organisation:
             self._shares.refund(organisation, self._clock.now())
 
-    def seconds_until_token(self, organisation: str) -> float:
-        """Return when the next request is within the cap."""
-        return self._shares.seconds_until_token(organisation)
+    def snapshot(self, organisation: str) -> ShareView:
+        """Return what this node holds of an organisation's rate."""
+        return self._shares.snapshot(organisation)
 
     def receive(self, organisation: str, node: str, amount: int) -> None:
         """Take the answer to an ask."""
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -67,8 +67,12 @@
     return session
 
 
+def no_policy() -> tuple[int, bytes]:
+    return 0, b''
+
+
 def make_server() -> PeerServer:
-    services = PeerServices(int, lambda: (0, bytes()), lambda *_: 0)
+    services = PeerServices(int, no_policy, lambda *_: 0)
     return PeerServer(FakeCallee(), services, EventLog(None))  # type: ignore[arg-type]
 
 
