--- a/mustardshunt/cli/_files_commands.py
+++ b/mustardshunt/cli/_files_commands.py
@@ -8,6 +8,10 @@
 from mustardshunt.cli._files import read_draft, read_file, report_faults
 from mustardshunt.cli._output import write_line
 from mustardshunt.settings import check_settings, parse_settings
+from mustardshunt.sidecar import (
+    check_sidecar_settings,
+    is_sidecar_settings,
+)
 
 
 async def run_node(command: NodeRun) -> ExitCode:
@@ -23,7 +27,11 @@
 
 async def check_settings_file(command: SettingsCheck) -> ExitCode:
     """List the faults of a settings file."""
-    faults = check_settings(read_file(command.file), command.file)
+    text = read_file(command.file)
+    check = check_settings
+    if is_sidecar_settings(text):
+        check = check_sidecar_settings
+    faults = check(text, command.file)
     report_faults(ErrorCode.BAD_SETTINGS, command.file, faults)
     write_line(f'{command.file}: no faults')
     return ExitCode.OK
--- a/mustardshunt/sidecar/__init__.py
+++ b/mustardshunt/sidecar/__init__.py
@@ -18,6 +18,7 @@
     SidecarSettings,
     SidecarSettingsError,
     check_sidecar_settings,
+    is_sidecar_settings,
     parse_sidecar_settings,
 )
 
@@ -38,6 +39,7 @@
     'SidecarSettings',
     'SidecarSettingsError',
     'check_sidecar_settings',
+    'is_sidecar_settings',
     'parse_sidecar_settings',
     'run_sidecar',
 ]
--- a/mustardshunt/sidecar/_entry.py
+++ b/mustardshunt/sidecar/_entry.py
@@ -256,7 +256,7 @@
             self._clock.now(),
             request=attempt.facts.request_id,
             organisation=organisation,
-            level=round(share.level, 2),
+            tokens=round(share.level, 2),
             depth=round(share.depth, 2),
             rate=round(share.rate, 2),
             nodes=share.nodes,
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -35,8 +35,8 @@
 LONGEST_PAUSE: Final = 1.0
 # A link that is silent for this long while calls wait is replaced: a usual
 # answer of any other call would have arrived meanwhile.
-WAITING_SILENCE: Final = 1.0
-WAITING_PING: Final = 0.35
+WAITING_SILENCE: Final = 0.7
+WAITING_PING: Final = 0.25
 # The same for a link without waiting calls.
 IDLE_SILENCE: Final = 2.5
 IDLE_PING: Final = 1.2
--- a/mustardshunt/sidecar/_settings.py
+++ b/mustardshunt/sidecar/_settings.py
@@ -183,6 +183,17 @@
     return _read(text, file)[1]
 
 
+def is_sidecar_settings(text: str) -> bool:
+    r"""Tell whether a settings file is one of a sidecar.
+
+    Examples
+    --------
+    >>> is_sidecar_settings('[node]\n[listen]\n')
+    True
+    """
+    return any(line.strip() == '[listen]' for line in text.splitlines())
+
+
 def parse_sidecar_settings(text: str, file: str) -> SidecarSettings:
     """Turn a settings file into settings.
 
--- a/mustardshunt/standin/deployment_store.py
+++ b/mustardshunt/standin/deployment_store.py
@@ -148,6 +148,8 @@
                     await self._changed.wait()
         except TimeoutError:
             return self._respond({'rows': []})
+        if self.is_down:
+            return web.Response(status=503)
         return self._respond({'rows': self._rows_since(table, after)})
 
     def _rows_since(self, table: str, after: int) -> list[dict[str, Any]]:
--- /dev/null
+++ b/mustardshunt/standin/tests/test_trails.py
@@ -0,0 +1,99 @@
+"""From the id of a failed request to its cause, as docs/OPERATIONS.md says."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest_asyncio
+
+from mustardshunt.standin.tests.deployment import (
+    Deployment,
+    Node,
+    make_policy,
+    start_deployment,
+)
+from mustardshunt.standin.tests.test_deployment import until
+
+
+@pytest_asyncio.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    deployment = await start_deployment()
+    try:
+        yield deployment
+    finally:
+        await deployment.stop()
+
+
+def trail(node: Node, request_id: str) -> dict[str, dict[str, Any]]:
+    """Return the lines about one request by their kind."""
+    return {
+        line['kind']: line
+        for line in node.log.lines
+        if line.get('request') == request_id
+    }
+
+
+def kinds(node: Node) -> set[str]:
+    return {line['kind'] for line in node.log.lines}
+
+
+async def test_request_refused_within_its_cap_in_an_outage(
+    deployment: Deployment,
+):
+    """The share is small because a node that is gone still counts."""
+    tenants = {
+        'acme': {'api_keys': ['k-acme'], 'rate_per_s': 1, 'burst': 8},
+    }
+    deployment.store.put('op', 'config', make_policy(2, tenants=tenants))
+    node = await deployment.add_node('a')
+    other = await deployment.add_node('b')
+    await deployment.until_served(node)
+    await until(lambda: len(node.sidecar._links.open_members()) == 1)
+    await other.kill()
+    deployment.store.is_down = True
+    deployment.store.put('op', 'config', make_policy(3, tenants=tenants))
+    await until(lambda: 'platform-lost' in kinds(node))
+    await until(lambda: 'link-lost' in kinds(node))
+    status = 200
+    while status == 200:
+        status = (await deployment.call(node, 'GET', '/read/x'))[0]
+    assert status == 429
+    lines = trail(node, f'q{deployment.requests}')
+    assert lines['request-refused']['reason'] == 'rate-exceeded'
+    share = lines['cap-reached']
+    assert (share['nodes'], share['policy']) == (2, 2)
+    assert share['tokens'] < 1
+    assert share['depth'] < 8
+
+
+async def test_order_whose_fate_is_unknown_after_a_cut(
+    deployment: Deployment,
+):
+    node = await deployment.add_node('a', with_server=False)
+    other = await deployment.add_node('b')
+    await deployment.until_served(node)
+    deployment.servers[0].manner.work = 1.0
+    call = asyncio.create_task(deployment.call(node, 'POST', '/order/x'))
+    gate = other.sidecar._callee.gate
+    await until(lambda: gate.running == 1)
+    request_id = f'q{deployment.requests}'
+    await other.kill()
+    assert (await call)[0] == 502
+    lines = trail(node, request_id)
+    assert lines['request-refused']['reason'] == 'backend-server-lost'
+    assert lines['attempt-lost']['member'] == 'b'
+    assert not lines['attempt-lost']['is_idempotent']
+    lost = [line for line in node.log.lines if line['kind'] == 'link-lost']
+    assert lost[-1]['peer'] == 'b'
+
+
+async def test_read_that_came_late_from_a_slow_server(deployment: Deployment):
+    node = await deployment.add_node('a')
+    await deployment.until_served(node)
+    deployment.servers[0].manner.work = 1.1
+    assert (await deployment.call(node, 'GET', '/read/x'))[0] == 200
+    late = trail(node, f'q{deployment.requests}')['answered-late']
+    assert late['member'] == 'a'
+    assert late['objective_ms'] == 1000
+    assert late['held_ms'] > 1000
+    assert late['refusals'] == 0
