Bound a cold backend server before its limits are known, and answer HEAD

A node that starts while the store is away knows no cold rate and passed everything on (found in reading; the new test fails without the change). An answer to HEAD has a length and no body, which the parser waited for.

--- a/mustardshunt/relay/_backend.py
+++ b/mustardshunt/relay/_backend.py
@@ -77,6 +77,11 @@
 class BackendJob(Protocol):
     """An admitted call on its way to the backend server."""
 
+    @property
+    def expects_body(self) -> bool:
+        """Whether the answer may have a body; not so for ``HEAD``."""
+        ...
+
     def render(self) -> bytes:
         """Return the request as bytes."""
         ...
@@ -119,7 +124,7 @@
     def submit(self, job: BackendJob) -> '_Connection':
         """Send a job on an idle connection, or open another one."""
         loop = asyncio.get_running_loop()
-        while self.idle:
+        while self.idle and job.expects_body:
             connection = self.idle.pop()
             if connection.give(job, loop.time()):
                 return connection
@@ -154,6 +159,7 @@
 
     __slots__ = (
         '_answer',
+        '_is_reusable',
         '_is_spoiled',
         '_job',
         '_keep_alive',
@@ -178,7 +184,9 @@
             pool.max_body_bytes,
             read_until_eof=True,
             auto_decompress=False,
+            response_with_body=job.expects_body,
         )
+        self._is_reusable = job.expects_body
         self._pool = pool
         self._job: BackendJob | None = job
         self._message: RawResponseMessage | None = None
@@ -353,6 +361,8 @@
         message = self._message
         if self._is_spoiled or self.transport is None or message is None:
             return False
+        if not self._is_reusable:
+            return False
         if not isinstance(outcome, BackendAnswer) or message.should_close:
             return False
         stated = message.headers.get('Keep-Alive')
--- a/mustardshunt/relay/tests/test_backend.py
+++ b/mustardshunt/relay/tests/test_backend.py
@@ -23,7 +23,8 @@
 
 
 class Job:
-    def __init__(self) -> None:
+    def __init__(self, expects_body: bool = True) -> None:
+        self.expects_body = expects_body
         loop = asyncio.get_running_loop()
         self.outcome: asyncio.Future[BackendOutcome] = loop.create_future()
 
@@ -37,7 +38,9 @@
         self.outcome.set_result(outcome)
 
 
-async def exchange(*pieces: object) -> tuple[BackendOutcome, BackendPool]:
+async def exchange(
+    *pieces: object, expects_body: bool = True
+) -> tuple[BackendOutcome, BackendPool]:
     """Send one request and let the server answer in these pieces."""
 
     async def serve(
@@ -61,7 +64,7 @@
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     address = VmAddress(*server.sockets[0].getsockname()[:2])
     pool = BackendPool(address, 1 << 20, lambda: None)
-    job = Job()
+    job = Job(expects_body)
     pool.submit(job)
     async with asyncio.timeout(3):
         outcome = await job.outcome
@@ -115,6 +118,13 @@
     assert not pool.idle
 
 
+async def test_answer_to_head_has_a_length_and_no_body():
+    outcome, pool = await exchange(HEAD, expects_body=False)
+    assert isinstance(outcome, BackendAnswer)
+    assert not outcome.body
+    assert not pool.idle
+
+
 async def test_refused_connection_has_not_begun():
     refusals = []
     probe = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -71,6 +71,11 @@
         self.connection: Any = None
         self.is_done = False
 
+    @property
+    def expects_body(self) -> bool:
+        """Whether the answer may have a body."""
+        return self.call.method != 'HEAD'
+
     def render(self) -> bytes:
         """Return the request for the backend server."""
         call = self.call
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -185,8 +185,14 @@
     def _has_room(self, now: float) -> bool:
         if len(self._running) >= self.limit():
             return False
+        if not self.is_cold(now):
+            return True
         service = self._service
-        if service is None or not service.cold_rate or not self.is_cold(now):
+        if service is None:
+            # A node that has started without the platform does not know what
+            # a cold backend server bears.
+            return False
+        if not service.cold_rate:
             return True
         return self._cold.room(service.cold_rate, now) > 0
 
--- a/mustardshunt/upstream/tests/test_gate.py
+++ b/mustardshunt/upstream/tests/test_gate.py
@@ -91,6 +91,15 @@
     assert not gate.is_cold(5.6)
 
 
+def test_cold_server_gets_nothing_while_its_bound_is_unknown():
+    """Guards the cold rate at a node that starts in an outage."""
+    gate = make_backend_gate(1.0)
+    gate.report(make_report(cold_for=3.0), 0.0)
+    late = make_ticket('a', latest_start=0.0)
+    assert gate.arrive(late, 0.1) is Reason.OVERLOADED
+    assert gate.arrive(late, 3.1) is Admission.STARTED
+
+
 def test_important_and_continued_calls_go_first():
     gate = make_open_gate(slots=1)
     gate.arrive(make_ticket('running'), 0.0)
