Be ready only when the policy and the other nodes are known

A node that had read its policy but not the members refused what it was sent (no-backend-server for some milliseconds after a start, seen in the log lines of restarts). The new test holds the store back.

--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -357,9 +357,12 @@
 
     def _begin_service(self) -> None:
         in_force = self._registry.in_force
-        if in_force is not None:
-            self._metrics.policy_version.set(in_force.policy.version)
-        if self._lifecycle.state == 'starting':
+        if in_force is None:
+            return
+        self._metrics.policy_version.set(in_force.policy.version)
+        # Without the other nodes most requests could only be refused.
+        has_members = self._member_sync.has_read
+        if self._lifecycle.state == 'starting' and has_members:
             self._lifecycle.serve()
 
     def _limits(self) -> RequestLimits:
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -213,6 +213,11 @@
         self.by_name: dict[str, Member] = {}
         self._must_register.set()
 
+    @property
+    def has_read(self) -> bool:
+        """Whether the entries were read since the start."""
+        return self._revision >= 0
+
     async def run(self) -> None:
         """Follow the entries until cancelled."""
         while True:
@@ -246,14 +251,15 @@
             self._dependency.fail(error)
 
     async def _follow(self) -> None:
-        if self._revision < 0:
+        is_first = not self.has_read
+        if is_first:
             news = await self._directory.read()
         else:
             news = await self._directory.changes(self._revision, FEED_SECONDS)
         self._pause.reset()
         self._dependency.succeed()
         self._revision = max(self._revision, news.revision)
-        if self._merge(news):
+        if self._merge(news) or is_first:
             self._take(self.by_name)
             await asyncio.sleep(GATHER_SECONDS)
 
--- a/mustardshunt/sidecar/_view.py
+++ b/mustardshunt/sidecar/_view.py
@@ -66,8 +66,8 @@
         Takes the changes.
     clock : Clock
         Source of the time.
-    on_policy : callable
-        Called when a policy comes into force.
+    on_change : callable
+        Called when a policy comes into force or the members change.
     """
 
     def __init__(
@@ -77,14 +77,14 @@
         source: OperatorSource,
         log: EventLog,
         clock: Clock,
-        on_policy: Callable[[], None],
+        on_change: Callable[[], None],
     ) -> None:
         self._own = own
         self._parts = parts
         self._source = source
         self._log = log
         self._clock = clock
-        self._on_policy = on_policy
+        self._on_change = on_change
         self._document = b''
         self._revision = -1
         self._sync: OperatorSync | None = None
@@ -145,6 +145,7 @@
         if self._links is not None:
             self._links.set_members(others)
         parts.callee.show()
+        self._on_change()
         self._log.record(
             'members',
             self._clock.now(),
@@ -223,7 +224,7 @@
             routes=len(policy.route_by_name),
             organisations=len(policy.organisation_by_name),
         )
-        self._on_policy()
+        self._on_change()
         parts.callee.show()
 
     def _spread_evacuation(self, revision: int) -> None:
--- a/mustardshunt/standin/tests/test_deployment.py
+++ b/mustardshunt/standin/tests/test_deployment.py
@@ -222,3 +222,22 @@
     async with asyncio.timeout(0.5):
         while gate.running:
             await asyncio.sleep(0.01)
+
+
+async def test_node_is_ready_once_it_knows_policy_and_members(
+    deployment: Deployment,
+):
+    node = await deployment.add_node('a')
+    await deployment.until_served(node)
+    assert node.sidecar._lifecycle.is_ready
+    deployment.store.is_down = True
+    later = await deployment.add_node('b', with_server=False)
+    await until(lambda: 'platform-lost' in _kinds(later))
+    assert not later.sidecar._lifecycle.is_ready
+    deployment.store.is_down = False
+    await until(lambda: later.sidecar._lifecycle.is_ready)
+    assert (await deployment.call(later, 'GET', '/read/x'))[0] in {200, 503}
+
+
+def _kinds(node: Node) -> set[str]:
+    return {line['kind'] for line in node.log.lines}
