--- a/mustardshunt/standin/tests/deployment.py
+++ b/mustardshunt/standin/tests/deployment.py
@@ -1,7 +1,8 @@
 """A small deployment in one process: a store, nodes, backend servers."""
 
 import asyncio
-import socket
+import itertools
+import os
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -27,13 +28,15 @@
 from mustardshunt.standin.deployment_server import DeploymentServer
 from mustardshunt.standin.deployment_store import DeploymentStore
 
-HOST = '127.0.0.1'
+# An address for each test process, and ports below those that the kernel hands
+# out: a port that was found free could be taken before the node listened on
+# it, by another process or by a connection of the test itself.
+HOST = f'127.{64 + os.getpid() // 250 % 64}.{os.getpid() % 250}.1'
+PORTS = itertools.count(20000)
 
 
 def free_address() -> VmAddress:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return VmAddress(HOST, probe.getsockname()[1])
+    return VmAddress(HOST, next(PORTS))
 
 
 def make_policy(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -191,15 +194,22 @@
             )
 
     async def until_served(self, node: Node) -> None:
-        async with asyncio.timeout(8):
-            while True:
-                try:
-                    status, _, _ = await self.call(node, 'GET', '/read/x')
-                except aiohttp.ClientError:
-                    status = 0
-                if status == 200:
-                    return
-                await asyncio.sleep(0.02)
+        seen = ''
+        try:
+            async with asyncio.timeout(8):
+                while seen != '200':
+                    seen = await self._try_read(node)
+                    await asyncio.sleep(0.02)
+        except TimeoutError as error:
+            lines = [line for line in node.log.lines if 'request' not in line]
+            state = f'last {seen}, task {node.task}, log {lines}'
+            raise AssertionError(state) from error
+
+    async def _try_read(self, node: Node) -> str:
+        try:
+            return str((await self.call(node, 'GET', '/read/x'))[0])
+        except aiohttp.ClientError as error:
+            return repr(error)
 
     async def stop(self) -> None:
         if self.client is not None:
