--- a/mustardshunt/relay/_streams.py
+++ b/mustardshunt/relay/_streams.py
@@ -40,6 +40,7 @@
         self._frames: deque[Frame] = deque()
         self._error: FrameError | None = None
         self._wake: asyncio.Future[None] | None = None
+        self._unsent: list[bytes] = []
         self.heard_at = self._loop.time()
 
     @property
@@ -49,13 +50,15 @@
         return transport is not None and not transport.is_closing()
 
     def send(self, frame: Frame) -> None:
-        """Send a frame; nothing happens on a closed connection."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        """Send a frame; nothing happens on a closed connection.
+
+        Frames of one turn of the event loop are written together.
+        """
+        if not self.is_open:
             return
-        transport.write(encode_frame(frame))
-        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self.abort()
+        self._unsent.append(encode_frame(frame))
+        if len(self._unsent) == 1:
+            self._loop.call_soon(self._write)
 
     async def frames(self) -> AsyncIterator[Frame]:
         """Yield frames until the connection ends.
@@ -103,6 +106,16 @@
         self._transport = None
         self._notify()
 
+    def _write(self) -> None:
+        transport = self._transport
+        unsent = self._unsent
+        self._unsent = []
+        if transport is None or transport.is_closing():
+            return
+        transport.write(unsent[0] if len(unsent) == 1 else b''.join(unsent))
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort()
+
     def _notify(self) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
