Let the cutoff follow the wait of chains, and settle before the next step

The cutoff took four seconds to fall far enough, since only refused calls lowered it, then fell too far, and rose into the same overload: swings of five seconds. Besides, requests that operators send without a key made services depend on each other, so that their cutoffs went around.

Now: waits of more than 0.35 of the patience lower it, the larger the step the longer the wait for its effect, a step takes out the rest of one rank at most, the rise slows down near the level at which the overload began, falling cutoffs are shown at once, and a dependency needs a call for each fifth run.

--- a/mustardshunt/placement/_balancer.py
+++ b/mustardshunt/placement/_balancer.py
@@ -1,6 +1,7 @@
 """Choice of the backend server for a call."""
 
 from collections.abc import Collection, Iterable
+from dataclasses import replace
 from typing import Final
 
 from mustardshunt.base import RandomSource
@@ -103,8 +104,15 @@
         return None if load is None else load.member
 
     def views(self, service: str) -> list[GateView]:
-        """Return the states of the members that take calls of a service."""
-        return [load.view for load in self._open(service)]
+        """Return the states of the members that take calls of a service.
+
+        The cutoff is that of the last result, which is newer than the last
+        state that was shown.
+        """
+        return [
+            replace(load.view, cutoff=load.cutoff)
+            for load in self._open(service)
+        ]
 
     def choose(
         self,
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -22,7 +22,10 @@
     NotRun,
     render_headers,
 )
-from mustardshunt.sidecar._dependencies import NO_DEPENDENCY
+from mustardshunt.sidecar._dependencies import (
+    NO_DEPENDENCY,
+    DependencyCutoff,
+)
 from mustardshunt.sidecar._ports import HeaderDialect
 from mustardshunt.sidecar._state_board import ReplySink, StateBoard
 from mustardshunt.upstream import (
@@ -278,6 +281,24 @@
         self._pool.sweep(now)
         self.board.show_if_changed(self.view(), now)
 
+    def review(self, now: float) -> None:
+        """Adapt the cutoff to the overload; called every 0.1 s."""
+        step = self.gate.review(now)
+        if step is None:
+            return
+        self._log.record(
+            'cutoff-lowered',
+            now,
+            level=round(step.level, 2),
+            arrived=step.arrived,
+            refused=step.refused,
+            pressure=round(step.pressure, 2),
+            running=self.gate.running,
+            waiting=self.gate.waiting,
+            limit=self.gate.limit(),
+            dependency=round(self.dependency.cutoff, 2),
+        )
+
     def view(self) -> GateView:
         """Return the state that other nodes see."""
         view = self.gate.view(self.clock.now())
@@ -326,13 +347,9 @@
             render_headers(answer.raw_headers, HOP_HEADERS),
             answer.body,
             self.in_flight(),
-            self._cutoff_percent(),
+            _cutoff_percent(self.gate, self.dependency),
         )
 
-    def _cutoff_percent(self) -> int:
-        cutoff = min(self.gate.cutoff.level, self.dependency.cutoff)
-        return int(cutoff * _PERCENT)
-
     def _log_loss(self, served: ServedCall, how: str) -> None:
         self._log.record(
             'answer-lost',
@@ -347,7 +364,7 @@
             number,
             reason.value,
             self.in_flight(),
-            self._cutoff_percent(),
+            _cutoff_percent(self.gate, self.dependency),
         )
 
     def _refuse(self, call: Call, sink: ReplySink, reason: Reason) -> None:
@@ -381,3 +398,7 @@
     def _after_change(self, now: float) -> None:
         self._apply(self.gate.tick(now))
         self.board.show_if_changed(self.view(), now)
+
+
+def _cutoff_percent(gate: BackendGate, dependency: DependencyCutoff) -> int:
+    return int(min(gate.cutoff.level, dependency.cutoff) * _PERCENT)
--- a/mustardshunt/sidecar/_dependencies.py
+++ b/mustardshunt/sidecar/_dependencies.py
@@ -10,6 +10,9 @@
 FORGET_SECONDS: Final = 5.0
 # Fewer calls than this in that time say nothing of what requests need.
 LEAST_CALLS: Final = 10
+# Most runs of the backend server call what it depends on. Fewer calls than
+# this for each run are requests of operators that need no key either.
+LEAST_CALLS_FOR_RUN: Final = 0.2
 # Chains are at most this long; in a circle of services a cutoff that has
 # gone around would otherwise keep itself up.
 MAX_HOPS: Final = 7
@@ -38,8 +41,15 @@
 class _Calls:
     count: int
     since: float
+    started_before: int | None = None
     is_dependency: bool = False
 
+    def is_usual(self, started: int) -> bool:
+        """Tell whether the runs since then made so many calls."""
+        runs = started - (self.started_before or 0)
+        least = max(LEAST_CALLS, runs * LEAST_CALLS_FOR_RUN)
+        return self.count >= least
+
 
 class Dependencies:
     """Learns which services the backend server calls.
@@ -51,7 +61,7 @@
     >>> for _ in range(LEAST_CALLS):
     ...     dependencies.note_call('stock', now=1.0)
     >>> view = GateView(ServerPhase.READY, False, 9, 9, 1.5, 1)
-    >>> dependencies.lowest(lambda service: [view], now=1.0)
+    >>> dependencies.lowest(lambda service: [view], started=4, now=1.0)
     DependencyCutoff(cutoff=1.5, hops=2)
     """
 
@@ -65,12 +75,11 @@
             calls = _Calls(0, now)
             self._calls_by_service[service] = calls
         calls.count += 1
-        if calls.count >= LEAST_CALLS:
-            calls.is_dependency = True
 
     def lowest(
         self,
         views: Callable[[str], list[GateView]],
+        started: int,
         now: float,
     ) -> DependencyCutoff:
         """Return the lowest cutoff of the services that are called.
@@ -79,15 +88,22 @@
         ----------
         views : callable
             Returns the states of the members of a service.
+        started : int
+            Calls that the backend server has run so far.
         now : float
             Time in seconds.
         """
         lowest = NO_DEPENDENCY
         for service, calls in list(self._calls_by_service.items()):
+            if calls.started_before is None:
+                calls.started_before = started
             if now - calls.since > FORGET_SECONDS:
-                calls.is_dependency = calls.count >= LEAST_CALLS
+                calls.is_dependency = calls.is_usual(started)
                 calls.count = 0
                 calls.since = now
+                calls.started_before = started
+            elif calls.is_usual(started):
+                calls.is_dependency = True
             if not calls.is_dependency:
                 continue
             found = _mean_cutoff(views(service))
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -292,18 +292,20 @@
         while True:
             is_busy = self._callee.gate.waiting
             await asyncio.sleep(TICK_SECONDS if is_busy else REVIEW_SECONDS)
-            self._callee.tick()
             now = self._clock.now()
             if now - reviewed_at >= REVIEW_SECONDS:
                 reviewed_at = now
                 self._links.check(now)
                 self._peers.check(now)
-                self._callee.gate.review(now)
+                self._callee.review(now)
                 self._callee.dependency = self._entry.dependencies.lowest(
                     self._balancer.views,
+                    self._callee.gate.started,
                     now,
                 )
                 self._log.flush()
+            # Shows the other nodes what the review has changed.
+            self._callee.tick()
             if now - looked_at >= SETTINGS_SECONDS:
                 looked_at = now
                 if self._file is not None and self._file.has_changed():
--- a/mustardshunt/sidecar/_state_board.py
+++ b/mustardshunt/sidecar/_state_board.py
@@ -89,6 +89,8 @@
         shown.phase is not view.phase
         or shown.is_cold != view.is_cold
         or shown.limit != view.limit
+        # Each call more that is accepted meanwhile adds to the overload.
+        or shown.cutoff - view.cutoff >= SHOWN_CUTOFF_STEP
     )
 
 
--- a/mustardshunt/upstream/_cutoff.py
+++ b/mustardshunt/upstream/_cutoff.py
@@ -1,15 +1,58 @@
 """Which ranks a backend server accepts under overload."""
 
+import math
+from dataclasses import dataclass
 from typing import Final
 
-# Steps each 0.1 s. Requests that were accepted go on making calls for a second
-# or so, and a larger step turns away far too much until they have ended.
-STEP_DOWN: Final = 0.06
-STEP_UP: Final = 0.03
+# Requests that were accepted before the largest step go on making calls for
+# about this long, and the new cutoff needs a part of it to reach the nodes at
+# which requests enter. A further step before that would answer the same
+# overload twice; service then swings between refused and overloaded. Smaller
+# steps wait for a shorter time.
+SETTLE_SECONDS: Final = 1.2
+# Part of its patience that a call of a running request may wait for. A chain
+# makes several calls one after the other, and each of them waits; with longer
+# waits whole chains come to their deadlines and all of their work is lost.
+USUAL_WAIT: Final = 0.35
+# A step keeps at least this part of the cutoff.
+LEAST_KEPT: Final = 0.5
+# The same for each refused part of the calls that need no queue for others.
+STEP_FOR_REFUSED: Final = 0.5
+# A step follows from at least so many calls, or so many seconds.
+LEAST_CALLS: Final = 12
+MEASURE_SECONDS: Final = 0.3
+# Rise each 0.1 s up to this part of the cutoff at which the last overload
+# began, and above it, where the backend server is full and where it is free.
+SURE_PART: Final = 0.7
+SURE_STEP_UP: Final = 0.1
+STEP_UP: Final = 0.02
+FREE_STEP_UP: Final = 0.06
 # The part of the most important rank that is accepted under any load.
 LOWEST_CUTOFF: Final = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class CutoffStep:
+    """A step down, and what it follows from.
+
+    Parameters
+    ----------
+    level : float
+        Cutoff after the step.
+    arrived : int
+        Calls that came since the last step had settled.
+    refused : int
+        Those of them that the queue could not settle.
+    pressure : float
+        Longest wait of a call of a running request, as a part of its patience.
+    """
+
+    level: float
+    arrived: int
+    refused: int
+    pressure: float
+
+
 class Cutoff:
     """Positions below the cutoff are accepted, the rest is refused early.
 
@@ -23,16 +66,19 @@
     --------
     >>> cutoff = Cutoff()
     >>> cutoff.set_positions(3)
-    >>> cutoff.note_refusal(position=0, is_continuation=False)
-    >>> cutoff.review()
-    >>> cutoff.level < 3.0
+    >>> cutoff.review(1.0, used=1.0, pressure=0.7).level < 3.0
     True
     """
 
     def __init__(self) -> None:
         self.level = 1.0
         self._top = 1.0
+        self._overload_level = 1.0
+        self._is_overloaded = False
+        self._arrived = 0
+        self._refused = 0
         self._lowest = float('inf')
+        self._measured_from = 0.0
 
     def set_positions(self, count: int) -> None:
         """Start anew for a policy with another number of ranks."""
@@ -40,9 +86,14 @@
             return
         self._top = float(count)
         self.level = self._top
+        self._overload_level = self._top
+
+    def note_arrival(self) -> None:
+        """Note a call that came to the gate."""
+        self._arrived += 1
 
     def note_refusal(self, position: int, is_continuation: bool) -> None:
-        """Note a call that was turned away or has waited for too long.
+        """Note a call that was turned away.
 
         Parameters
         ----------
@@ -54,13 +105,80 @@
         # A refused continuation may belong to any rank. Otherwise only ranks
         # below the refused one give way: the queue sheds within a rank.
         lowest = LOWEST_CUTOFF if is_continuation else position + 1.0
-        self._lowest = min(self._lowest, lowest)
+        if lowest < self._top:
+            self._refused += 1
+            self._lowest = min(self._lowest, lowest)
+
+    def review(
+        self,
+        now: float,
+        used: float,
+        pressure: float,
+    ) -> CutoffStep | None:
+        """Adapt the cutoff to what was noted; called each 0.1 s.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        used : float
+            Part of the backend server's limit that is in use.
+        pressure : float
+            Longest wait of a call of a running request, as a part of its
+            patience.
+
+        Returns
+        -------
+        CutoffStep or None
+            None unless the cutoff was lowered.
+        """
+        if now < self._measured_from:
+            # What comes now was accepted before the last step.
+            self._forget()
+            return None
+        kept = min(1.0, USUAL_WAIT / max(pressure, USUAL_WAIT))
+        if kept < 1:
+            self._lowest = LOWEST_CUTOFF
+        elif not self._refused:
+            self._is_overloaded = False
+            self._rise(used)
+            self._restart(now)
+            return None
+        elif not self._has_seen_enough(now):
+            return None
+        share = min(1.0, self._refused / max(1, self._arrived))
+        kept = max(LEAST_KEPT, min(kept, 1.0 - STEP_FOR_REFUSED * share))
+        if not self._is_overloaded:
+            self._is_overloaded = True
+            self._overload_level = self.level
+        # Ranks differ in their demand, and a rank must not give way for the
+        # one below it: a step takes out the rest of one rank at most.
+        next_rank = math.ceil(self.level) - 1.0
+        lowered = max(self._lowest, next_rank, self.level * kept)
+        self.level = min(self.level, lowered)
+        taken = CutoffStep(self.level, self._arrived, self._refused, pressure)
+        part = (1.0 - kept) / (1.0 - LEAST_KEPT)
+        self._restart(now + SETTLE_SECONDS * part)
+        return taken
+
+    def _rise(self, used: float) -> None:
+        step = STEP_UP + (FREE_STEP_UP - STEP_UP) * max(0.0, 1.0 - used)
+        if self.level < SURE_PART * self._overload_level:
+            step = SURE_STEP_UP
+        self.level = min(self._top, self.level + step)
+        # What was too much once need not be so for ever.
+        self._overload_level = max(self._overload_level, self.level)
+
+    def _has_seen_enough(self, now: float) -> bool:
+        if self._arrived >= LEAST_CALLS:
+            return True
+        return now - self._measured_from >= MEASURE_SECONDS
+
+    def _restart(self, measured_from: float) -> None:
+        self._measured_from = measured_from
+        self._forget()
 
-    def review(self) -> None:
-        """Adapt the cutoff to what was noted; called each 0.1 s."""
-        lowest = self._lowest
+    def _forget(self) -> None:
+        self._arrived = 0
+        self._refused = 0
         self._lowest = float('inf')
-        if lowest < self.level:
-            self.level = max(lowest, self.level - STEP_DOWN)
-        elif lowest >= self._top:
-            self.level = min(self._top, self.level + STEP_UP)
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -6,7 +6,7 @@
 from mustardshunt.base import Reason
 from mustardshunt.policy import ServicePolicy
 from mustardshunt.upstream._cold_rate import ColdRate
-from mustardshunt.upstream._cutoff import Cutoff
+from mustardshunt.upstream._cutoff import Cutoff, CutoffStep
 from mustardshunt.upstream._events import (
     Admission,
     GateChange,
@@ -42,6 +42,7 @@
     def __init__(self, presence: Presence) -> None:
         self.presence = presence
         self.cutoff = Cutoff()
+        self.started = 0
         self._cold = ColdRate()
         self._waiting = WaitingCalls()
         self._running: set[Hashable] = set()
@@ -108,13 +109,14 @@
         """
         if not self.is_open():
             return self.closed_reason()
+        self.cutoff.note_arrival()
         if not len(self._waiting) and self._has_room(now):
             self._start(ticket, now)
             return Admission.STARTED
         if not self._may_wait(ticket, now):
             self.cutoff.note_refusal(ticket.position, ticket.is_continuation)
             return Reason.OVERLOADED
-        self._waiting.push(ticket)
+        self._waiting.push(ticket, now)
         return Admission.QUEUED
 
     def finish(self, key: Hashable, now: float) -> GateChange:
@@ -137,11 +139,11 @@
         started = self._start_waiting(now)
         return GateChange(started, turned)
 
-    def review(self, now: float) -> None:
+    def review(self, now: float) -> CutoffStep | None:
         """Adapt the cutoff; called each 0.1 s."""
-        if self._waiting.has_late_continuation(now):
-            self.cutoff.note_refusal(0, is_continuation=True)
-        self.cutoff.review()
+        used = len(self._running) / max(1, self.limit())
+        pressure = self._waiting.pressure(now)
+        return self.cutoff.review(now, used, pressure)
 
     def is_open(self) -> bool:
         """Tell whether calls are taken at all."""
@@ -206,6 +208,7 @@
 
     def _start(self, ticket: Ticket, now: float) -> None:
         self._running.add(ticket.key)
+        self.started += 1
         self._cold.record(now)
 
     def _start_waiting(self, now: float) -> tuple[Ticket, ...]:
--- a/mustardshunt/upstream/_waiting.py
+++ b/mustardshunt/upstream/_waiting.py
@@ -9,8 +9,6 @@
 # Continuations are ordered before the most important rank: giving them up
 # wastes what the request has used already.
 _CONTINUATION: Final = -1
-# A continuation that must start within this time is about to be refused.
-NEAR_SECONDS: Final = 0.08
 
 
 class WaitingCalls:
@@ -20,7 +18,7 @@
     --------
     >>> waiting = WaitingCalls()
     >>> for key, position in (('read', 2), ('order', 0)):
-    ...     waiting.push(Ticket(key, position, False, 'o', 9.0))
+    ...     waiting.push(Ticket(key, position, False, 'o', 9.0), now=0.0)
     >>> waiting.pop().key, waiting.pop().key, waiting.pop()
     ('order', 'read', None)
     """
@@ -28,15 +26,18 @@
     def __init__(self) -> None:
         self._lanes: dict[int, OrderedDict[str, deque[Ticket]]] = {}
         self._by_key: dict[Hashable, Ticket] = {}
+        self._since_by_key: dict[Hashable, float] = {}
 
     def __len__(self) -> int:
         return len(self._by_key)
 
-    def push(self, ticket: Ticket) -> None:
+    def push(self, ticket: Ticket, now: float) -> None:
         """Add a call."""
         lane = self._lanes.setdefault(_lane_of(ticket), OrderedDict())
         lane.setdefault(ticket.organisation, deque()).append(ticket)
         self._by_key[ticket.key] = ticket
+        if ticket.is_continuation:
+            self._since_by_key[ticket.key] = now
 
     def pop(self) -> Ticket | None:
         """Take the next call, None when none waits."""
@@ -49,6 +50,7 @@
 
     def discard(self, key: Hashable) -> Ticket | None:
         """Take a call out of the order, None when it does not wait."""
+        self._since_by_key.pop(key, None)
         return self._by_key.pop(key, None)
 
     def expired(self, now: float) -> list[Ticket]:
@@ -59,20 +61,23 @@
             if ticket.latest_start <= now
         ]
         for ticket in late:
-            del self._by_key[ticket.key]
+            self.discard(ticket.key)
         return late
 
-    def has_late_continuation(self, now: float) -> bool:
-        """Tell whether a continuation has used up most of its patience."""
-        return any(
-            ticket.is_continuation and ticket.latest_start - now < NEAR_SECONDS
-            for ticket in self._by_key.values()
-        )
+    def pressure(self, now: float) -> float:
+        """Return the longest wait of a continuation, 1 at its latest start."""
+        longest = 0.0
+        for key, since in self._since_by_key.items():
+            patience = self._by_key[key].latest_start - since
+            if patience > 0:
+                longest = max(longest, (now - since) / patience)
+        return longest
 
     def clear(self) -> list[Ticket]:
         """Take out all calls."""
         tickets = list(self._by_key.values())
         self._by_key.clear()
+        self._since_by_key.clear()
         self._lanes.clear()
         return tickets
 
@@ -88,8 +93,7 @@
                 del lane[organisation]
             # Calls taken out of the order stay in their lane until here.
             if self._by_key.get(ticket.key) is ticket:
-                del self._by_key[ticket.key]
-                return ticket
+                return self.discard(ticket.key)
         return None
 
 
