Add a fault soak of real node processes

Plays random faults that overlap against real processes: kills, planned stops, pauses, reloads, crashes and leaves of backend servers, new versions, a store that is down or forgets its history, and proxies in front of the store, the nodes and the backend servers that delay, reset, cut one way or silence. Checks from outside: own and whole answers, owner of the key, key kept back, orders at most once, refusals true, the cap in any window, drain, recovery.

--- /dev/null
+++ b/mustardshunt/soak/_world.py
@@ -0,0 +1,330 @@
+"""A small deployment of real node processes behind proxies."""
+
+import asyncio
+import base64
+import functools
+import json
+import os
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from mustardshunt.base import VmAddress
+from mustardshunt.soak._promises import Ledger, Ran
+from mustardshunt.soak._proxy import FaultProxy, Trouble
+from mustardshunt.standin.deployment_server import DeploymentServer, ServerRun
+from mustardshunt.standin.deployment_store import DeploymentStore
+
+SERVICE: Final = 'stock'
+KEY: Final = 'soak-key'
+ORGANISATIONS: Final = ('aquarium', 'troupe')
+CAPPED: Final = 'troupe'
+CAP_RATE: Final = 20.0
+CAP_BURST: Final = 10.0
+BODY: Final = b'whole answer ' * 800
+GRACE_SECONDS: Final = 4
+# Ports on each node's own loopback address.
+_PORTS: Final = {
+    'callers': 21000,
+    'peers': 21001,
+    'ready': 21002,
+    'control': 21003,
+    'metrics': 21004,
+    'server': 21005,
+    'server_proxy': 21006,
+    'store_proxy': 21007,
+    'peers_proxy': 21008,
+}
+_RESTART_SECONDS: Final = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Where one node and what belongs to it listens.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node.
+    host : str
+        Its loopback address.
+    """
+
+    name: str
+    host: str
+
+    def address(self, port: str) -> VmAddress:
+        """Return the address of one of the ports."""
+        return VmAddress(self.host, _PORTS[port])
+
+
+class SoakNode:
+    """One node process, its backend server, and the proxies around them.
+
+    Parameters
+    ----------
+    place : NodePlace
+        Where they listen.
+    folder : Path
+        For the settings file and the log.
+    ledger : Ledger
+        Takes the runs of the backend server.
+    """
+
+    def __init__(self, place: NodePlace, folder: Path, ledger: Ledger) -> None:
+        self.place = place
+        self._folder = folder
+        self._ledger = ledger
+        self._process: asyncio.subprocess.Process | None = None
+        self._starts = 0
+        self._server: DeploymentServer | None = None
+        self._server_starts = 0
+        self._is_first = True
+        address = place.address
+        self.proxy_by_name = {
+            'server': FaultProxy(address('server_proxy'), address('server')),
+            'store': FaultProxy(address('store_proxy'), STORE_ADDRESS),
+            'peers': FaultProxy(address('peers_proxy'), address('peers')),
+        }
+
+    async def start(self) -> None:
+        """Start the proxies, the backend server and the node."""
+        for proxy in self.proxy_by_name.values():
+            await proxy.start()
+        await self.start_process()
+        await self.start_server()
+
+    async def start_process(self) -> None:
+        """Start the node process."""
+        path = self._folder / f'{self.place.name}.ini'
+        path.write_text(self._settings())
+        self._is_first = False
+        log = (self._folder / f'{self.place.name}.log').open('ab')
+        self._starts += 1
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'mustardshunt.platform',
+            env={**os.environ, 'MUSTARDSHUNT_SETTINGS': str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def restart(self, number: signal.Signals) -> None:
+        """End the process by a signal and start it again."""
+        process = self._process
+        if process is None:
+            return
+        self._process = None
+        self._send(process, number)
+        try:
+            async with asyncio.timeout(GRACE_SECONDS):
+                await process.wait()
+        except TimeoutError:
+            self._send(process, signal.SIGKILL)
+            await process.wait()
+        await asyncio.sleep(_RESTART_SECONDS)
+        await self.start_process()
+
+    async def pause(self, seconds: float) -> None:
+        """Stop the process for a time."""
+        process = self._process
+        if process is None:
+            return
+        self._send(process, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self._send(process, signal.SIGCONT)
+
+    def reload(self) -> None:
+        """Tell the process that its settings have changed."""
+        if self._process is not None:
+            self._send(self._process, signal.SIGHUP)
+
+    async def start_server(self) -> None:
+        """Start another run of the backend server."""
+        self._server_starts += 1
+        instance = f'i-{self.place.name}-{self._server_starts}'
+        server = DeploymentServer(
+            instance,
+            SERVICE,
+            self.place.address('server'),
+            self.place.address('control'),
+        )
+        server.manner.body = BODY
+        server.manner.work = 0.01
+        server.on_run = functools.partial(self._note_run, instance)
+        await server.start()
+        self._server = server
+
+    async def crash_server(self, seconds: float) -> None:
+        """End the backend server and start another run later."""
+        server = self._server
+        if server is None:
+            return
+        self._server = None
+        await server.stop()
+        await asyncio.sleep(seconds)
+        await self.start_server()
+
+    async def replace_server(self, seconds: float) -> None:
+        """Let the backend server drain, leave and come back."""
+        server = self._server
+        if server is None:
+            return
+        self._server = None
+        before = server.confirmed
+        server.state = 'draining'
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            await asyncio.sleep(0.1)
+            # The report under way may have been made before.
+            if server.confirmed >= before + 2:
+                left = self._ledger.left_at_by_instance
+                left.setdefault(server.instance, loop.time())
+        await server.stop()
+        await self.start_server()
+
+    async def stop(self) -> None:
+        """End everything that was started here."""
+        if self._process is not None:
+            self._send(self._process, signal.SIGCONT)
+            self._send(self._process, signal.SIGKILL)
+            await self._process.wait()
+        if self._server is not None:
+            await self._server.stop()
+        for proxy in self.proxy_by_name.values():
+            proxy.stop()
+
+    def heal(self) -> None:
+        """End the troubles of all proxies."""
+        for proxy in self.proxy_by_name.values():
+            proxy.set_trouble(Trouble.NONE)
+
+    def _note_run(self, instance: str, run: ServerRun) -> None:
+        now = asyncio.get_running_loop().time()
+        self._ledger.ran.append(Ran(now, instance, run))
+
+    def _send(
+        self,
+        process: asyncio.subprocess.Process,
+        number: signal.Signals,
+    ) -> None:
+        # Only processes started here are signalled, and only while they run.
+        if process.returncode is None:
+            process.send_signal(number)
+
+    def _settings(self) -> str:
+        place = self.place
+        listen = '\n'.join(
+            f'{name} = {place.address(name)}'
+            for name in ('callers', 'peers', 'ready', 'control', 'metrics')
+        )
+        return (
+            f'[node]\nname = {place.name}\ndata_centre = z\n'
+            f'service = {SERVICE}\n'
+            f'backend_server = {place.address("server_proxy")}\n'
+            f'first_start = {str(self._is_first).lower()}\n'
+            f'memory_mb = 300\nlog_level = INFO\n'
+            f'[listen]\n{listen}\n'
+            f'[platform]\naddress = {place.address("store_proxy")}\n'
+            f'heartbeat = 200ms\n'
+            f'[bounds]\ngrace = {GRACE_SECONDS}s\n'
+        )
+
+
+# An address for each process, so that two soaks do not meet.
+_NETWORK: Final = f'127.{128 + os.getpid() // 250 % 64}.{os.getpid() % 250}'
+STORE_ADDRESS: Final = VmAddress(f'{_NETWORK}.250', 21000)
+
+
+class SoakWorld:
+    """Store, nodes and backend servers of one soak.
+
+    Parameters
+    ----------
+    count : int
+        Number of nodes.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.ledger = Ledger(BODY)
+        self.store = DeploymentStore()
+        self.store.rewrite = self._behind_proxy
+        self.version = 1
+        self.folder = Path(tempfile.mkdtemp(prefix='mustardshunt-soak-'))
+        self.nodes = [
+            SoakNode(
+                NodePlace(f'node-{number}', f'{_NETWORK}.{number + 1}'),
+                self.folder,
+                self.ledger,
+            )
+            for number in range(count)
+        ]
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.store.start(STORE_ADDRESS)
+        self.put_policy()
+        await asyncio.gather(*(node.start() for node in self.nodes))
+
+    async def stop(self) -> None:
+        """End everything that was started here."""
+        await asyncio.gather(*(node.stop() for node in self.nodes))
+        await self.store.stop()
+
+    def put_policy(self) -> None:
+        """Write the next version of the policy as an operator does."""
+        self.version += 1
+        self.store.put('op', 'config', _policy(self.version))
+
+    def _behind_proxy(self, table: str, key: str, value: str) -> str:
+        entry: dict[str, Any] = json.loads(base64.b64decode(value))
+        for node in self.nodes:
+            if node.place.name == key:
+                entry['port'] = node.place.address('peers_proxy').port
+        return base64.b64encode(json.dumps(entry).encode()).decode()
+
+
+def _policy(version: int) -> dict[str, Any]:
+    route = {
+        'host': 'h.example',
+        'timeout': '2000ms',
+        'target_latency': '500ms',
+        'priority': 0,
+        'service': SERVICE,
+        'max_attempts': 2,
+    }
+    return {
+        'version': version,
+        'routes': {
+            'read': {**route, 'prefix': '/read/', 'kind': 'idempotent'},
+            'order': {**route, 'prefix': '/order/', 'kind': 'non_idempotent'},
+        },
+        'services': {
+            SERVICE: {
+                'health_path': '/healthz',
+                'max_connections': 64,
+                'warmup': '1s',
+                'cold_per_s': 50.0,
+            },
+        },
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1048576,
+            'header_timeout': '3000ms',
+            'idle_timeout': '15000ms',
+        },
+        'tenants': {
+            name: {
+                'api_keys': [f'{KEY}-{name}'],
+                'rate_per_s': CAP_RATE if name == CAPPED else 0,
+                'burst': CAP_BURST if name == CAPPED else 0,
+            }
+            for name in ORGANISATIONS
+        },
+    }
--- /dev/null
+++ b/mustardshunt/soak/tests/test_proxy.py
@@ -0,0 +1,82 @@
+"""The proxy does what each trouble says."""
+
+import asyncio
+import os
+
+import pytest
+
+from mustardshunt.base import VmAddress
+from mustardshunt.soak import FaultProxy, Trouble
+from mustardshunt.soak._proxy import DELAY_SECONDS
+
+HOST = f'127.{192 + os.getpid() // 250 % 60}.{os.getpid() % 250}.1'
+TARGET = VmAddress(HOST, 21100)
+ADDRESS = VmAddress(HOST, 21101)
+# Longer than a delay of both directions.
+SHORT_SECONDS = 4 * DELAY_SECONDS
+
+
+async def echo(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while chunk := await reader.read(100):
+        writer.write(chunk)
+    writer.close()
+
+
+class Line:
+    """A connection through the proxy."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def ask(self) -> bytes:
+        """Return the echo, nothing when none comes."""
+        self._writer.write(b'x')
+        try:
+            async with asyncio.timeout(SHORT_SECONDS):
+                return await self._reader.read(1)
+        except (TimeoutError, ConnectionError):
+            return b''
+
+
+async def open_line() -> Line:
+    return Line(*await asyncio.open_connection(ADDRESS.host, ADDRESS.port))
+
+
+@pytest.mark.parametrize(
+    ('trouble', 'open_answers', 'new_answers'),
+    [
+        (Trouble.NONE, True, True),
+        (Trouble.DELAY, True, True),
+        (Trouble.RESET, False, False),
+        (Trouble.ONE_WAY, False, False),
+        (Trouble.SILENCE, False, True),
+    ],
+)
+async def test_trouble_of_open_and_new_connections(
+    trouble: Trouble, open_answers: bool, new_answers: bool
+):
+    server = await asyncio.start_server(echo, TARGET.host, TARGET.port)
+    proxy = FaultProxy(ADDRESS, TARGET)
+    await proxy.start()
+    try:
+        found = await answers_in(proxy, trouble)
+    finally:
+        proxy.stop()
+        server.close()
+    assert found == [True, open_answers, new_answers, True]
+
+
+async def answers_in(proxy: FaultProxy, trouble: Trouble) -> list[bool]:
+    line = await open_line()
+    found = [bool(await line.ask())]
+    proxy.set_trouble(trouble)
+    found.append(bool(await line.ask()))
+    found.append(bool(await (await open_line()).ask()))
+    proxy.set_trouble(Trouble.NONE)
+    found.append(bool(await (await open_line()).ask()))
+    return found
--- a/mustardshunt/standin/deployment_server.py
+++ b/mustardshunt/standin/deployment_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -81,6 +82,7 @@
         self.address = address
         self.manner = ServerManner()
         self.runs: list[ServerRun] = []
+        self.on_run: Callable[[ServerRun], None] = self.runs.append
         self.state = 'ready'
         self.slots = 8
         self.cold_ms = 0
@@ -154,7 +156,7 @@
             not_run = {**echo, 'Mustardshunt-Not-Executed': '1'}
             return web.Response(status=503, headers=not_run)
         body = await request.read()
-        self.runs.append(ServerRun(request_id, dict(request.headers), body))
+        self.on_run(ServerRun(request_id, dict(request.headers), body))
         await asyncio.sleep(self.manner.work)
         if self.manner.drops_answers and request.transport is not None:
             request.transport.abort()
--- a/mustardshunt/standin/deployment_store.py
+++ b/mustardshunt/standin/deployment_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -45,11 +46,15 @@
         Whether every call is turned away with 503.
     calls : int
         Calls so far.
+    rewrite : callable
+        Returns the value to keep for a table, a key and the value that a node
+        has written.
     """
 
     def __init__(self) -> None:
         self.is_down = False
         self.calls = 0
+        self.rewrite: Callable[[str, str, str], str] = _keep_value
         self._version = 0
         self._row_by_key: dict[tuple[str, str], _Change] = {}
         self._changes: list[_Change] = []
@@ -116,7 +121,8 @@
             if version != row['ver']:
                 return web.json_response({'rows': []}, status=412)
         for row in entries.get('writes', []):
-            self._apply(row['table'], row['key'], row['value'])
+            table, key = row['table'], row['key']
+            self._apply(table, key, self.rewrite(table, key, row['value']))
         for row in entries.get('remove', []):
             self._apply(row['table'], row['key'], None)
         return self._respond({})
@@ -161,3 +167,7 @@
 
     def _respond(self, content: dict[str, Any]) -> web.Response:
         return web.json_response({**content, 'ver': self._version})
+
+
+def _keep_value(table: str, key: str, value: str) -> str:
+    return value
