Split the entry's log lines, the served call and the frame types off

No behaviour changes; twelve silenced checks in tests, which the type checker does not read, are gone.

--- a/mustardshunt/placement/tests/test_placement.py
+++ b/mustardshunt/placement/tests/test_placement.py
@@ -25,7 +25,7 @@
 def make_view(in_flight: int = 0, **changes: object) -> GateView:
     phase = changes.get('phase', ServerPhase.READY)
     is_cold = bool(changes.get('is_cold'))
-    return GateView(phase, is_cold, in_flight, 10, 1.0)  # type: ignore[arg-type]
+    return GateView(phase, is_cold, in_flight, 10, 1.0)
 
 
 def make_balancer(**views: GateView) -> Balancer:
--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -7,14 +7,12 @@
     BackendPool,
     FailureKind,
 )
-from mustardshunt.relay._frames import (
+from mustardshunt.relay._frame_types import (
     Answered,
     Call,
     Cancel,
     FateAsk,
     Frame,
-    FrameError,
-    FrameSplitter,
     Hello,
     Lost,
     NotRun,
@@ -25,6 +23,10 @@
     State,
     TokensGiven,
     TokensWanted,
+)
+from mustardshunt.relay._frames import (
+    FrameError,
+    FrameSplitter,
     decode_frame,
     encode_frame,
 )
--- /dev/null
+++ b/mustardshunt/relay/_frame_types.py
@@ -0,0 +1,303 @@
+"""Messages between nodes."""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First frame of the node that dials.
+
+    Parameters
+    ----------
+    incarnation : str
+        Run of the dialling node.
+    link : int
+        Rises with each connection that the run opens.
+    is_first : bool
+        Whether no earlier connection carried calls that still wait.
+    """
+
+    incarnation: str
+    link: int
+    is_first: bool
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """What the called node tells of its backend server.
+
+    Parameters
+    ----------
+    name : str
+        Name of the called node.
+    incarnation : str
+        Run of the called node.
+    phase : str
+        Whether the backend server takes calls.
+    is_cold : bool
+        Whether it is in its cold start.
+    in_flight : int
+        Calls that run or wait.
+    limit : int
+        Calls that may run at the same time.
+    cutoff : float
+        Positions of ranks below this are accepted.
+    hops : int
+        Calls down the chain at which the cutoff arose.
+    revision : int
+        Newest operator change known at the node.
+    """
+
+    name: str
+    incarnation: str
+    phase: str
+    is_cold: bool
+    in_flight: int
+    limit: int
+    cutoff: float
+    hops: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request on its way to the node beside its backend server.
+
+    Parameters
+    ----------
+    number : int
+        Identity of the call among those of the sending run.
+    service : str
+        Service that is to run it.
+    request_id : str
+        Identity that the caller gave.
+    remaining_ms : int
+        Milliseconds until nobody waits for the answer.
+    patience_ms : int
+        Milliseconds for which it may wait for a slot.
+    position : int
+        Position of its rank.
+    is_continuation : bool
+        Whether a request that already runs needs it.
+    organisation : str
+        Organisation for which it runs, empty if there is none.
+    caller_service : str
+        Service beside the node at which it entered.
+    method : str
+        HTTP method.
+    target : str
+        Path and query.
+    head : bytes
+        Header lines that are passed on.
+    body : bytes
+        Whole body.
+    """
+
+    number: int
+    service: str
+    request_id: str
+    remaining_ms: int
+    patience_ms: int
+    position: int
+    is_continuation: bool
+    organisation: str
+    caller_service: str
+    method: str
+    target: str
+    head: bytes
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The backend server's answer to a call.
+
+    Parameters
+    ----------
+    number : int
+        The call.
+    status : int
+        HTTP status.
+    head : bytes
+        Header lines that are passed on.
+    body : bytes
+        Whole body.
+    in_flight : int
+        Calls at the backend server.
+    cutoff_percent : int
+        The cutoff times 100.
+    """
+
+    number: int
+    status: int
+    head: bytes
+    body: bytes
+    in_flight: int
+    cutoff_percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """A call that has not run and never will.
+
+    Parameters
+    ----------
+    number : int
+        The call.
+    reason : str
+        Why.
+    in_flight : int
+        Calls at the backend server, -1 when that is not known.
+    cutoff_percent : int
+        The cutoff times 100.
+    """
+
+    number: int
+    reason: str
+    in_flight: int
+    cutoff_percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """A call that may have run, and whose answer is lost.
+
+    Parameters
+    ----------
+    number : int
+        The call.
+    reason : str
+        How the answer was lost.
+    """
+
+    number: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Nobody waits for a call any more.
+
+    Parameters
+    ----------
+    number : int
+        The call.
+    """
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class FateAsk:
+    """Asks on a new link what became of calls of an older one.
+
+    Parameters
+    ----------
+    numbers : tuple of int
+        The calls.
+    """
+
+    numbers: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks for a sign of life.
+
+    Parameters
+    ----------
+    revision : int
+        Newest operator change known at the sender.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Answers a ping.
+
+    Parameters
+    ----------
+    revision : int
+        Newest operator change known at the sender.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyAsk:
+    """Asks for the policy in force at the other node.
+
+    Parameters
+    ----------
+    above : int
+        Version that the sender has already.
+    """
+
+    above: int
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyDocument:
+    """The policy in force at the sender.
+
+    Parameters
+    ----------
+    document : bytes
+        Text as operators wrote it.
+    """
+
+    document: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TokensWanted:
+    """Asks for tokens of an organisation's rate.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation whose tokens are short.
+    wanted : int
+        Tokens that could be used soon.
+    """
+
+    organisation: str
+    wanted: int
+
+
+@dataclass(frozen=True, slots=True)
+class TokensGiven:
+    """Tokens that the sender has taken out of its own share.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation that they belong to.
+    amount : int
+        Tokens that the receiver may add to its own.
+    """
+
+    organisation: str
+    amount: int
+
+
+Frame: TypeAlias = (
+    Hello
+    | State
+    | Call
+    | Answered
+    | NotRun
+    | Lost
+    | Cancel
+    | FateAsk
+    | Ping
+    | Pong
+    | PolicyAsk
+    | PolicyDocument
+    | TokensWanted
+    | TokensGiven
+)
--- a/mustardshunt/relay/_streams.py
+++ b/mustardshunt/relay/_streams.py
@@ -7,8 +7,8 @@
 from typing import Final, cast
 
 from mustardshunt.base import VmAddress
+from mustardshunt.relay._frame_types import Frame
 from mustardshunt.relay._frames import (
-    Frame,
     FrameError,
     FrameSplitter,
     encode_frame,
--- a/mustardshunt/relay/tests/test_backend.py
+++ b/mustardshunt/relay/tests/test_backend.py
@@ -58,7 +58,7 @@
             if piece is None:
                 writer.close()
                 return
-            writer.write(piece)  # type: ignore[arg-type]
+            writer.write(piece)
             await asyncio.sleep(0.01)
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -1,9 +1,7 @@
 """The node beside the backend server: runs the calls of all nodes."""
 
 from dataclasses import replace
-from typing import Any, Final
-
-from aiohttp.http_parser import RawResponseMessage
+from typing import Final
 
 from mustardshunt.base import Clock, Reason
 from mustardshunt.observability import EventLog
@@ -27,6 +25,7 @@
     DependencyCutoff,
 )
 from mustardshunt.sidecar._ports import HeaderDialect
+from mustardshunt.sidecar._served_call import MS_PER_SECOND, ServedCall
 from mustardshunt.sidecar._state_board import ReplySink, StateBoard
 from mustardshunt.upstream import (
     Admission,
@@ -38,77 +37,12 @@
     Ticket,
 )
 
-MS_PER_SECOND: Final = 1000.0
 # The entry node gives up first; this only ends what it can no longer cancel.
 DEADLINE_GRACE: Final = 0.3
 _PERCENT: Final = 100
 _SUCCESS: Final = range(200, 300)
 
 
-class ServedCall:
-    """A call that waits for the backend server or runs there."""
-
-    __slots__ = (
-        '_callee',
-        'call',
-        'connection',
-        'deadline',
-        'is_done',
-        'sink',
-        'ticket',
-    )
-
-    def __init__(
-        self,
-        callee: 'Callee',
-        call: Call,
-        sink: ReplySink,
-        ticket: Ticket,
-        deadline: float,
-    ) -> None:
-        self._callee = callee
-        self.call = call
-        self.ticket = ticket
-        self.sink = sink
-        self.deadline = deadline
-        self.connection: Any = None
-        self.is_done = False
-
-    @property
-    def expects_body(self) -> bool:
-        """Whether the answer may have a body."""
-        return self.call.method != 'HEAD'
-
-    def render(self) -> bytes:
-        """Return the request for the backend server."""
-        call = self.call
-        left = self.deadline - self._callee.clock.now()
-        set_head = self._callee.dialect.backend_head(
-            call,
-            self._callee.gate.instance,
-            max(1, int(left * MS_PER_SECOND)),
-        )
-        length = b''
-        if call.body or call.method not in {'GET', 'HEAD', 'DELETE'}:
-            length = b'Content-Length: %d\r\n' % len(call.body)
-        return b'%b %b HTTP/1.1\r\n%b%b%b\r\n%b' % (
-            call.method.encode(),
-            call.target.encode('utf-8', 'surrogateescape'),
-            call.head,
-            set_head,
-            length,
-            call.body,
-        )
-
-    def owns(self, message: RawResponseMessage) -> bool:
-        """Tell whether an answer belongs to this call."""
-        return self._callee.dialect.owns(message, self.call.request_id)
-
-    def finish(self, outcome: BackendOutcome) -> None:
-        """Take what became of the request."""
-        self._callee.complete(self, outcome)
-
-
 class Callee:
     """Admits calls and passes them to the backend server.
 
--- a/mustardshunt/sidecar/_entry.py
+++ b/mustardshunt/sidecar/_entry.py
@@ -38,12 +38,11 @@
     SHORTEST_RETRY_AFTER,
     RefusedError,
     refusal_reply,
-    status_of,
     unavailable,
 )
+from mustardshunt.sidecar._request_log import MS_PER_SECOND, RequestLog
 from mustardshunt.sidecar._token_desk import TokenDesk
 
-MS_PER_SECOND: Final = 1000.0
 # Part of the target latency for which a call may wait for a slot; a refusal
 # that comes later has cost the caller the time for another attempt.
 PATIENCE: Final = 0.25
@@ -124,7 +123,7 @@
         self._tokens = tokens
         self._sender = sender
         self._dialect = dialect
-        self._log = log
+        self._lines = RequestLog(log, registry, clock)
         self._metrics = metrics
         self._clock = clock
         self._dropped = HOP_HEADERS | dialect.dropped
@@ -220,29 +219,9 @@
             else:
                 self._tokens.give_back(attempt.organisation)
                 raise
-        self._note_late(attempt, progress)
+        self._lines.note_late(attempt, progress)
         return HttpReply(answer.status, answer.head, answer.body)
 
-    def _note_late(self, attempt: Attempt, progress: Progress) -> None:
-        now = self._clock.now()
-        held = now - attempt.started_at
-        if held <= attempt.route.latency_objective:
-            return
-        self._log.record(
-            'answered-late',
-            now,
-            request=attempt.facts.request_id,
-            route=attempt.route.name,
-            held_ms=round(held * MS_PER_SECOND, 1),
-            objective_ms=round(
-                attempt.route.latency_objective * MS_PER_SECOND,
-            ),
-            member=progress.member,
-            slowness=round(progress.slowness, 2),
-            runs=progress.runs,
-            refusals=progress.refusals,
-        )
-
     async def _take_token(self, attempt: Attempt) -> None:
         organisation = attempt.organisation
         if not organisation:
@@ -251,17 +230,7 @@
         if await self._tokens.take(organisation, patience):
             return
         share = self._tokens.snapshot(organisation)
-        self._log.record(
-            'cap-reached',
-            self._clock.now(),
-            request=attempt.facts.request_id,
-            organisation=organisation,
-            tokens=round(share.level, 2),
-            depth=round(share.depth, 2),
-            rate=round(share.rate, 2),
-            nodes=share.nodes,
-            policy=self._registry.version,
-        )
+        self._lines.note_cap(attempt, share)
         raise RefusedError(
             Reason.RATE_EXCEEDED,
             max(SHORTEST_RETRY_AFTER, share.seconds_until_token()),
@@ -412,15 +381,7 @@
         result: Lost,
     ) -> None:
         progress.runs += 1
-        self._log.record(
-            'attempt-lost',
-            self._clock.now(),
-            request=attempt.facts.request_id,
-            route=attempt.route.name,
-            member=progress.member,
-            how=result.reason,
-            is_idempotent=attempt.route.is_idempotent,
-        )
+        self._lines.note_lost(attempt, progress, result)
         if self._may_repeat(attempt, progress, result.reason):
             return
         raise RefusedError(Reason.BACKEND_SERVER_LOST)
@@ -438,14 +399,7 @@
         others = self._balancer.choose(attempt.service, progress.tried, now)
         if others is None or not self._take_retry(attempt, now):
             return False
-        self._log.record(
-            'sent-again',
-            now,
-            request=attempt.facts.request_id,
-            route=route.name,
-            why=why,
-            runs=progress.runs,
-        )
+        self._lines.note_sent_again(attempt, progress, why)
         return True
 
     def _take_retry(self, attempt: Attempt, now: float) -> bool:
@@ -462,22 +416,17 @@
         organisation: str,
         started_at: float,
     ) -> HttpReply:
-        now = self._clock.now()
-        self._log.record(
-            'request-refused',
-            now,
-            request=facts.request_id,
-            route=route,
-            organisation=organisation,
-            reason=refusal.reason.value,
-            status=status_of(refusal.reason),
-            held_ms=round((now - started_at) * MS_PER_SECOND, 1),
-            policy=self._registry.version,
+        held = self._clock.now() - started_at
+        self._lines.note_refused(
+            refusal,
+            facts.request_id,
+            route,
+            organisation,
+            held,
         )
         if not route:
-            passed = now - started_at
             reason = refusal.reason.value
-            self._metrics.count_request('', '', reason, passed)
+            self._metrics.count_request('', '', reason, held)
         return refusal_reply(refusal)
 
     def _count(self, attempt: Attempt, outcome: str) -> None:
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -62,8 +62,8 @@
 
 
 def make_session() -> PeerSession:
-    session = PeerSession('a-1', FakeCallee())  # type: ignore[arg-type]
-    session.stream = FakeStream()  # type: ignore[assignment]
+    session = PeerSession('a-1', FakeCallee())
+    session.stream = FakeStream()
     return session
 
 
@@ -73,12 +73,12 @@
 
 def make_server() -> PeerServer:
     services = PeerServices(int, no_policy, lambda *_: 0)
-    return PeerServer(FakeCallee(), services, EventLog(None))  # type: ignore[arg-type]
+    return PeerServer(FakeCallee(), services, EventLog(None))
 
 
 def ask(session: PeerSession, *numbers: int) -> list[object]:
     stream = FakeStream()
-    session.stream = stream  # type: ignore[assignment]
+    session.stream = stream
     session.tell_fates(numbers)
     return stream.sent
 
@@ -124,14 +124,14 @@
     """An order ran twice: the timer of an earlier loss forgot its call."""
     server = make_server()
     stream = FakeStream()
-    session = server._open(Hello('a-1', 1, True), stream)  # type: ignore[arg-type]
+    session = server._open(Hello('a-1', 1, True), stream)
     session.stream = None
-    server._open(Hello('a-1', 2, False), stream)  # type: ignore[arg-type]
+    server._open(Hello('a-1', 2, False), stream)
     session.start(make_call(7))
     session.stream = None
     server._forget(session, 1)
     assert not session._callee.cancelled
-    returned = server._open(Hello('a-1', 3, False), stream)  # type: ignore[arg-type]
+    returned = server._open(Hello('a-1', 3, False), stream)
     assert returned is session
     server._forget(session, 3)
     assert not session._callee.cancelled
@@ -140,10 +140,10 @@
 def test_sender_that_returns_too_late_is_not_told_not_run():
     server = make_server()
     stream = FakeStream()
-    session = server._open(Hello('a-1', 1, True), stream)  # type: ignore[arg-type]
+    session = server._open(Hello('a-1', 1, True), stream)
     session.start(make_call(7))
     session.stream = None
     server._forget(session, 1)
-    returned = server._open(Hello('a-1', 2, False), stream)  # type: ignore[arg-type]
+    returned = server._open(Hello('a-1', 2, False), stream)
     assert returned is not session
     assert isinstance(ask(returned, 7)[0], Lost)
--- a/mustardshunt/soak/tests/test_proxy.py
+++ b/mustardshunt/soak/tests/test_proxy.py
@@ -73,10 +73,10 @@
 
 async def answers_in(proxy: FaultProxy, trouble: Trouble) -> list[bool]:
     line = await open_line()
-    found = [bool(await line.ask())]
+    before = bool(await line.ask())
     proxy.set_trouble(trouble)
-    found.append(bool(await line.ask()))
-    found.append(bool(await (await open_line()).ask()))
+    open_answers = bool(await line.ask())
+    new_answers = bool(await (await open_line()).ask())
     proxy.set_trouble(Trouble.NONE)
-    found.append(bool(await (await open_line()).ask()))
-    return found
+    after = bool(await (await open_line()).ask())
+    return [before, open_answers, new_answers, after]
--- a/mustardshunt/standin/tests/test_deployment.py
+++ b/mustardshunt/standin/tests/test_deployment.py
@@ -27,7 +27,7 @@
 async def until(condition: object) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(5):
-        while not condition():  # type: ignore[operator]
+        while not condition():
             await asyncio.sleep(0.01)
 
 
