Refuse for an overloaded dependency only the routes that need it

Ruled out: telling the requests apart by their place in a chain (routes of callers call other services at some services and not at others), and by a regression of calls on runs (too slow for an overload of seconds).

--- a/mustardshunt/relay/_frame_types.py
+++ b/mustardshunt/relay/_frame_types.py
@@ -45,6 +45,8 @@
         Positions of ranks below this are accepted.
     hops : int
         Calls down the chain at which the cutoff arose.
+    own_cutoff : float
+        The same as ``cutoff`` for calls that need no other service.
     revision : int
         Newest operator change known at the node.
     """
@@ -57,6 +59,7 @@
     limit: int
     cutoff: float
     hops: int
+    own_cutoff: float
     revision: int
 
 
@@ -70,6 +73,8 @@
         Identity of the call among those of the sending run.
     service : str
         Service that is to run it.
+    route : str
+        Name of its route.
     request_id : str
         Identity that the caller gave.
     remaining_ms : int
@@ -96,6 +101,7 @@
 
     number: int
     service: str
+    route: str
     request_id: str
     remaining_ms: int
     patience_ms: int
@@ -127,6 +133,8 @@
         Calls at the backend server.
     cutoff_percent : int
         The cutoff times 100.
+    is_dependent : bool
+        Whether calls of its route need other services.
     """
 
     number: int
@@ -135,6 +143,7 @@
     body: bytes
     in_flight: int
     cutoff_percent: int
+    is_dependent: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardshunt/relay/tests/test_frames.py
+++ b/mustardshunt/relay/tests/test_frames.py
@@ -13,7 +13,20 @@
 )
 
 CALL = Call(
-    7, 's', 'id', 900, 50, 1, True, 'o', 'c', 'POST', '/x', b'A: b\r\n', b'x'
+    7,
+    's',
+    'r',
+    'id',
+    900,
+    50,
+    1,
+    True,
+    'o',
+    'c',
+    'POST',
+    '/x',
+    b'A: b\r\n',
+    b'x',
 )
 
 
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -24,6 +24,7 @@
     NO_DEPENDENCY,
     DependencyCutoff,
 )
+from mustardshunt.sidecar._dependent_routes import DependentRoutes
 from mustardshunt.sidecar._ports import HeaderDialect
 from mustardshunt.sidecar._served_call import MS_PER_SECOND, ServedCall
 from mustardshunt.sidecar._state_board import ReplySink, StateBoard
@@ -41,6 +42,7 @@
 DEADLINE_GRACE: Final = 0.3
 _PERCENT: Final = 100
 _SUCCESS: Final = range(200, 300)
+_SERVER_ERROR: Final = 500
 
 
 class Callee:
@@ -84,6 +86,7 @@
         self.clock = clock
         self._served_by_ticket: dict[Ticket, ServedCall] = {}
         self.dependency = NO_DEPENDENCY
+        self._dependent_routes = DependentRoutes()
         self.is_leaving = False
 
     def in_flight(self) -> int:
@@ -141,7 +144,12 @@
         if served.is_done:
             return
         change = self._release(served)
-        served.sink.deliver(served.call.number, self._judge(served, outcome))
+        result = self._judge(served, outcome)
+        is_overloaded = self.dependency.cutoff < self.gate.cutoff.top
+        if is_overloaded and not isinstance(result, NotRun):
+            route = served.call.route
+            self._dependent_routes.note_end(route, _has_failed(result))
+        served.sink.deliver(served.call.number, result)
         self._apply(change)
 
     def report(self, report: ServerReport) -> bool:
@@ -282,6 +290,7 @@
             answer.body,
             self.in_flight(),
             _cutoff_percent(self.gate, self.dependency),
+            self._dependent_routes.is_dependent(served.call.route),
         )
 
     def _log_loss(self, served: ServedCall, how: str) -> None:
@@ -336,3 +345,7 @@
 
 def _cutoff_percent(gate: BackendGate, dependency: DependencyCutoff) -> int:
     return int(min(gate.cutoff.level, dependency.cutoff) * _PERCENT)
+
+
+def _has_failed(result: Answered | Lost) -> bool:
+    return isinstance(result, Lost) or result.status >= _SERVER_ERROR
--- a/mustardshunt/sidecar/_entry.py
+++ b/mustardshunt/sidecar/_entry.py
@@ -31,6 +31,7 @@
     position_of,
 )
 from mustardshunt.sidecar._dependencies import Dependencies
+from mustardshunt.sidecar._known_dependents import KnownDependents
 from mustardshunt.sidecar._metrics import SidecarMetrics
 from mustardshunt.sidecar._peer_link import CallResult
 from mustardshunt.sidecar._ports import CallerFacts, HeaderDialect
@@ -130,6 +131,7 @@
         self._next_number = 0
         self.is_stopped = False
         self.dependencies = Dependencies()
+        self._dependents = KnownDependents()
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Return the reply to a request."""
@@ -259,8 +261,10 @@
         if load is None:
             raise unavailable(progress.last_reason, patience)
         is_new = not progress.tried and not attempt.is_continuation
-        if is_new and attempt.position + random.random() >= load.cutoff:
-            raise unavailable(Reason.OVERLOADED, patience)
+        if is_new:
+            cutoff = self._dependents.cutoff(attempt.route.name, load, now)
+            if attempt.position + random.random() >= cutoff:
+                raise unavailable(Reason.OVERLOADED, patience)
         progress.tried.add(load.member.name)
         progress.member = load.member.name
         progress.slowness = load.slowness
@@ -292,6 +296,7 @@
         return Call(
             number=self._next_number,
             service=attempt.service,
+            route=attempt.route.name,
             request_id=attempt.facts.request_id,
             remaining_ms=int(left * MS_PER_SECOND),
             patience_ms=int(
@@ -322,6 +327,11 @@
             has_failed = result.status >= _SERVER_ERROR
             has_failed = has_failed and result.status != _GATEWAY_TIMEOUT
             outcome = 'answered'
+            self._dependents.note(
+                attempt.route.name,
+                result.is_dependent,
+                now,
+            )
         elif isinstance(result, NotRun):
             has_failed = result.reason == Reason.REJECTED.value
             outcome = result.reason
--- a/mustardshunt/sidecar/_state_board.py
+++ b/mustardshunt/sidecar/_state_board.py
@@ -80,6 +80,7 @@
             view.limit,
             view.cutoff,
             view.hops,
+            view.own_cutoff,
             self.revision,
         )
 
@@ -91,11 +92,16 @@
         or shown.limit != view.limit
         # Each call more that is accepted meanwhile adds to the overload.
         or shown.cutoff - view.cutoff >= SHOWN_CUTOFF_STEP
+        or shown.own_cutoff - view.own_cutoff >= SHOWN_CUTOFF_STEP
     )
 
 
 def _has_moved(shown: GateView, view: GateView) -> bool:
-    moved = abs(shown.in_flight - view.in_flight)
-    if moved > SHOWN_LOAD_STEP * view.limit:
+    load_step = abs(shown.in_flight - view.in_flight)
+    if load_step > SHOWN_LOAD_STEP * view.limit:
         return True
-    return abs(shown.cutoff - view.cutoff) >= SHOWN_CUTOFF_STEP
+    moved = max(
+        abs(shown.cutoff - view.cutoff),
+        abs(shown.own_cutoff - view.own_cutoff),
+    )
+    return moved >= SHOWN_CUTOFF_STEP
--- a/mustardshunt/sidecar/_view.py
+++ b/mustardshunt/sidecar/_view.py
@@ -161,6 +161,7 @@
             state.limit,
             state.cutoff,
             state.hops,
+            state.own_cutoff,
         )
         self._parts.balancer.update(name, view)
 
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -14,6 +14,7 @@
     return Call(
         number,
         's',
+        'route',
         f'r{number}',
         900,
         100,
@@ -87,7 +88,7 @@
     """An order ran twice: its answer had left on the link that was lost."""
     session = make_session()
     session.start(make_call(7))
-    answer = Answered(7, 200, b'', b'done', 0, 100)
+    answer = Answered(7, 200, b'', b'done', 0, 100, False)
     session.deliver(7, answer)
     assert ask(session, 7) == [answer]
 
@@ -95,9 +96,9 @@
 def test_call_whose_answer_is_forgotten_is_unknown():
     session = make_session()
     session.start(make_call(7))
-    session.deliver(7, Answered(7, 200, b'', b'x' * 400_000, 0, 100))
+    session.deliver(7, Answered(7, 200, b'', b'x' * 400_000, 0, 100, False))
     session.start(make_call(8))
-    session.deliver(8, Answered(8, 200, b'', b'x' * 400_000, 0, 100))
+    session.deliver(8, Answered(8, 200, b'', b'x' * 400_000, 0, 100, False))
     assert isinstance(ask(session, 7)[0], Lost)
 
 
--- a/mustardshunt/upstream/_cutoff.py
+++ b/mustardshunt/upstream/_cutoff.py
@@ -72,7 +72,7 @@
 
     def __init__(self) -> None:
         self.level = 1.0
-        self._top = 1.0
+        self.top = 1.0
         self._overload_level = 1.0
         self._is_overloaded = False
         self._arrived = 0
@@ -82,11 +82,11 @@
 
     def set_positions(self, count: int) -> None:
         """Start anew for a policy with another number of ranks."""
-        if count == self._top:
+        if count == self.top:
             return
-        self._top = float(count)
-        self.level = self._top
-        self._overload_level = self._top
+        self.top = float(count)
+        self.level = self.top
+        self._overload_level = self.top
 
     def note_arrival(self) -> None:
         """Note a call that came to the gate."""
@@ -105,7 +105,7 @@
         # A refused continuation may belong to any rank. Otherwise only ranks
         # below the refused one give way: the queue sheds within a rank.
         lowest = LOWEST_CUTOFF if is_continuation else position + 1.0
-        if lowest < self._top:
+        if lowest < self.top:
             self._refused += 1
             self._lowest = min(self._lowest, lowest)
 
@@ -165,7 +165,7 @@
         step = STEP_UP + (FREE_STEP_UP - STEP_UP) * max(0.0, 1.0 - used)
         if self.level < SURE_PART * self._overload_level:
             step = SURE_STEP_UP
-        self.level = min(self._top, self.level + step)
+        self.level = min(self.top, self.level + step)
         # What was too much once need not be so for ever.
         self._overload_level = max(self._overload_level, self.level)
 
--- a/mustardshunt/upstream/_events.py
+++ b/mustardshunt/upstream/_events.py
@@ -127,6 +127,8 @@
     hops : int
         Calls down the chain at which the cutoff arose, 0 for the backend
         server itself.
+    own_cutoff : float
+        The same as ``cutoff`` for calls that need no other service.
     """
 
     phase: ServerPhase
@@ -135,3 +137,4 @@
     limit: int
     cutoff: float
     hops: int = 0
+    own_cutoff: float = float('inf')
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -182,6 +182,7 @@
             in_flight=len(self._running) + len(self._waiting),
             limit=self.limit(),
             cutoff=self.cutoff.level,
+            own_cutoff=self.cutoff.level,
         )
 
     def _has_room(self, now: float) -> bool:
