--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo lint format types imports names check golden bench surge measure capacity
+.PHONY: setup test demo lint format types imports names check golden bench surge measure capacity soak
 
 # Recreates the environment when the lock file changes.
 $(VENV)/.installed: requirements.lock pyproject.toml
@@ -28,6 +28,9 @@
 surge: setup
 	$(BIN)/python -m mustardshunt.standin.surge
 
+soak: setup
+	$(BIN)/python -m mustardshunt.soak
+
 measure: setup
 	$(BIN)/python -m mustardshunt.measure
 
