--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/python -m mustardshunt.standin.surge
 
 soak: setup
-	$(BIN)/python -m mustardshunt.soak
+	$(BIN)/python -m mustardshunt.standin.soak
 
 measure: setup
 	$(BIN)/python -m mustardshunt.measure
--- a/mustardshunt/soak/__main__.py
+++ b/mustardshunt/standin/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Plays soaks by hand: ``python -m mustardshunt.soak --seeds 50``."""
+"""Plays soaks by hand: ``python -m mustardshunt.standin.soak --seeds 50``."""
 
 import argparse
 import asyncio
@@ -6,7 +6,7 @@
 import sys
 from typing import Final
 
-from mustardshunt.soak import SoakPlan, run_soak
+from mustardshunt.standin.soak import SoakPlan, run_soak
 
 BREACHES_TOLD: Final = 10
 
--- a/mustardshunt/soak/_callers.py
+++ b/mustardshunt/standin/soak/_callers.py
@@ -7,8 +7,8 @@
 
 import aiohttp
 
-from mustardshunt.soak._promises import Asked, Ledger, Replied
-from mustardshunt.soak._world import KEY, ORGANISATIONS, SoakNode
+from mustardshunt.standin.soak._promises import Asked, Ledger, Replied
+from mustardshunt.standin.soak._world import KEY, ORGANISATIONS, SoakNode
 
 DEADLINE_MS: Final = 1500
 _GIVE_UP_SECONDS: Final = 3.0
--- a/mustardshunt/soak/_run.py
+++ b/mustardshunt/standin/soak/_run.py
@@ -10,10 +10,10 @@
 from pathlib import Path
 from typing import Any, Final, TypeAlias
 
-from mustardshunt.soak._callers import Caller
-from mustardshunt.soak._promises import Breach
-from mustardshunt.soak._proxy import Trouble
-from mustardshunt.soak._world import (
+from mustardshunt.standin.soak._callers import Caller
+from mustardshunt.standin.soak._promises import Breach
+from mustardshunt.standin.soak._proxy import Trouble
+from mustardshunt.standin.soak._world import (
     CAP_BURST,
     CAP_RATE,
     CAPPED,
--- a/mustardshunt/soak/_world.py
+++ b/mustardshunt/standin/soak/_world.py
@@ -13,10 +13,10 @@
 from typing import Any, Final
 
 from mustardshunt.base import VmAddress
-from mustardshunt.soak._promises import Ledger, Ran
-from mustardshunt.soak._proxy import FaultProxy, Trouble
 from mustardshunt.standin.deployment_server import DeploymentServer, ServerRun
 from mustardshunt.standin.deployment_store import DeploymentStore
+from mustardshunt.standin.soak._promises import Ledger, Ran
+from mustardshunt.standin.soak._proxy import FaultProxy, Trouble
 
 SERVICE: Final = 'stock'
 KEY: Final = 'soak-key'
--- a/mustardshunt/soak/tests/test_promises.py
+++ b/mustardshunt/standin/soak/tests/test_promises.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from mustardshunt.soak._promises import Asked, Ledger, Ran, Replied
 from mustardshunt.standin.deployment_server import ServerRun
+from mustardshunt.standin.soak._promises import Asked, Ledger, Ran, Replied
 
 WHOLE = b'whole'
 KEY = 'soak-key'
--- a/mustardshunt/soak/tests/test_proxy.py
+++ b/mustardshunt/standin/soak/tests/test_proxy.py
@@ -6,8 +6,8 @@
 import pytest
 
 from mustardshunt.base import VmAddress
-from mustardshunt.soak import FaultProxy, Trouble
-from mustardshunt.soak._proxy import DELAY_SECONDS
+from mustardshunt.standin.soak import FaultProxy, Trouble
+from mustardshunt.standin.soak._proxy import DELAY_SECONDS
 
 HOST = f'127.{192 + os.getpid() // 250 % 60}.{os.getpid() % 250}.1'
 TARGET = VmAddress(HOST, 21100)
--- a/mustardshunt/soak/tests/test_soak.py
+++ b/mustardshunt/standin/soak/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mustardshunt.soak import SoakPlan, run_soak
+from mustardshunt.standin.soak import SoakPlan, run_soak
 
 # One seed for each run of the tests; longer soaks are played by hand. Seeds
 # that ever broke a promise are added here, with a line on the cause.
