--- a/mustardshunt/standin/soak/_world.py
+++ b/mustardshunt/standin/soak/_world.py
@@ -39,6 +39,9 @@
     'peers_proxy': 21008,
 }
 _RESTART_SECONDS: Final = 0.3
+# An address for each process, so that two soaks do not meet.
+_NETWORK: Final = f'127.{128 + os.getpid() // 250 % 64}.{os.getpid() % 250}'
+STORE_ADDRESS: Final = VmAddress(f'{_NETWORK}.250', 21000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,11 +240,6 @@
         )
 
 
-# An address for each process, so that two soaks do not meet.
-_NETWORK: Final = f'127.{128 + os.getpid() // 250 % 64}.{os.getpid() % 250}'
-STORE_ADDRESS: Final = VmAddress(f'{_NETWORK}.250', 21000)
-
-
 class SoakWorld:
     """Store, nodes and backend servers of one soak.
 
