--- a/mustardshunt/relay/_loop.py
+++ b/mustardshunt/relay/_loop.py
@@ -9,8 +9,8 @@
 # Turns of the loop that may follow each other without a look for new events.
 # A request takes two or three turns on its way through a node.
 MAX_SKIPPED: Final = 4
-# A wake-up costs about as much processor time as handling one event. From
-# this rate on, events are gathered before they are handled. A call has two
+# From this rate on, events are gathered before they are handled, which saves
+# processor time for fewer wake-ups. A call has two
 # events at each of its two nodes: the rate is above that of an ordinary node
 # of a deployment of the design size (128 calls/s) and below a busy one's.
 BUSY_EVENTS_PER_SECOND: Final = 800.0
