--- a/mustardshunt/observability/_server.py
+++ b/mustardshunt/node/_metrics_server.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from mustardshunt.base import VmAddress
-from mustardshunt.observability._metrics import NodeMetrics
+from mustardshunt.observability import NodeMetrics
 
 
 class NodeState(Protocol):
--- a/mustardshunt/node/_node.py
+++ b/mustardshunt/node/_node.py
@@ -32,6 +32,7 @@
 from mustardshunt.node._lifecycle import Lifecycle
 from mustardshunt.node._link_handler import NodeLinkHandler
 from mustardshunt.node._member_sync import MemberSync
+from mustardshunt.node._metrics_server import MetricsServer
 from mustardshunt.node._rate_sync import (
     HOLDER_TICK_SECONDS,
     RateSync,
@@ -40,7 +41,7 @@
 from mustardshunt.node._registration import PeerDiscovery, Registration
 from mustardshunt.node._remote import RemoteCalls
 from mustardshunt.node._share_table_sync import ShareTableSync
-from mustardshunt.observability import MetricsServer, NodeMetrics
+from mustardshunt.observability import NodeMetrics
 from mustardshunt.routing import (
     EvacuatedDataCentresChanged,
     MemberUpdated,
--- a/mustardshunt/platform/__main__.py
+++ b/mustardshunt/platform/__main__.py
@@ -7,8 +7,6 @@
 from pathlib import Path
 from typing import Final
 
-import aiohttp
-
 from mustardshunt.platform import (
     PlatformHeaderCodec,
     PlatformHeartbeatCodec,
@@ -43,15 +41,17 @@
         File that the settings were read from. The node reads the file again
         when the file changes.
     """
-    async with aiohttp.ClientSession() as session:
-        store = StoreClient(session, settings.platform.address)
-        adapter = PlatformAdapter(
-            PlatformHeaderCodec(),
-            PlatformHeartbeatCodec(settings.node.service),
-            StoreOperatorSource(store),
-            StoreMemberDirectory(store),
-        )
+    store = StoreClient(settings.platform.address)
+    adapter = PlatformAdapter(
+        PlatformHeaderCodec(),
+        PlatformHeartbeatCodec(settings.node.service),
+        StoreOperatorSource(store),
+        StoreMemberDirectory(store),
+    )
+    try:
         await run_sidecar(settings, adapter, file)
+    finally:
+        store.close()
 
 
 def main() -> int:
--- a/mustardshunt/platform/_header_codec.py
+++ b/mustardshunt/platform/_header_codec.py
@@ -2,8 +2,6 @@
 
 from typing import Final
 
-from aiohttp.http_parser import RawResponseMessage
-
 from mustardshunt.platform._names import (
     AUTHORIZATION_HEADER,
     BEARER_PREFIX,
@@ -15,11 +13,21 @@
     REQUEST_ID_HEADER,
     RESPONSE_STAMP_HEADER,
 )
-from mustardshunt.relay import Call, HttpRequest, RawHeaders, lower_name
+from mustardshunt.relay import (
+    AnswerHead,
+    Call,
+    HttpRequest,
+    RawHeaders,
+    lower_name,
+)
 from mustardshunt.sidecar import AnswerMetadata, RequestMetadata
 
 _MS_PER_SECOND: Final = 1000.0
 _MISDIRECTED_REQUEST: Final = 421
+# Keys of the headers of a request or an answer.
+_AUTHORIZATION: Final = AUTHORIZATION_HEADER.lower()
+_DEADLINE_MS: Final = DEADLINE_MS_HEADER.lower()
+_REQUEST_ID: Final = REQUEST_ID_HEADER.lower()
 _RESPONSE_STAMP: Final = RESPONSE_STAMP_HEADER.lower().encode()
 _NOT_EXECUTED: Final = NOT_EXECUTED_HEADER.lower().encode()
 _CONTENT_ENCODING: Final = b'content-encoding'
@@ -52,13 +60,13 @@
         A header that is absent or malformed counts as not set.
         """
         headers = request.headers
-        authorization = headers.get(AUTHORIZATION_HEADER)
+        authorization = headers.get(_AUTHORIZATION)
         key = None
         if authorization is not None:
             key = authorization.removeprefix(BEARER_PREFIX).strip()
         return RequestMetadata(
-            headers.get(REQUEST_ID_HEADER, ''),
-            _parse_milliseconds(headers.get(DEADLINE_MS_HEADER)),
+            headers.get(_REQUEST_ID, ''),
+            _parse_milliseconds(headers.get(_DEADLINE_MS)),
             key,
         )
 
@@ -89,11 +97,9 @@
             f'{organisation_line}'
         ).encode()
 
-    def matches_request(
-        self, message: RawResponseMessage, request_id: str
-    ) -> bool:
+    def matches_request(self, head: AnswerHead, request_id: str) -> bool:
         """Return whether an answer carries the id of a request."""
-        return message.headers.get(REQUEST_ID_HEADER) == request_id
+        return head.headers.get(_REQUEST_ID) == request_id
 
     def read_answer(self, status: int, headers: RawHeaders) -> AnswerMetadata:
         """Return what an answer's headers and status say about the request.
--- a/mustardshunt/platform/_store.py
+++ b/mustardshunt/platform/_store.py
@@ -1,12 +1,12 @@
 """HTTP client of the platform's store, which keeps tables of rows."""
 
+import asyncio
 import base64
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, Final
-
-import aiohttp
+from urllib.parse import urlencode
 
 from mustardshunt.base import VmAddress
 from mustardshunt.platform._values import (
@@ -15,13 +15,22 @@
     read_json_object,
     read_text,
 )
+from mustardshunt.relay import (
+    AnswerHead,
+    BackendAnswer,
+    BackendConnectionPool,
+    BackendOutcome,
+)
 from mustardshunt.sidecar import HistoryLostError, PlatformError
 
 # Even a slow store answers within 1 s. When this time-out ends, the connection
 # counts as lost.
 REQUEST_TIMEOUT_SECONDS: Final = 1.6
-CONNECT_TIMEOUT_SECONDS: Final = 1.0
+# Largest answer of the store that is read. A page has at most 1 MB of rows,
+# which are longer as text.
+MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
 _MS_PER_SECOND: Final = 1000
+_SUCCESS: Final = range(200, 300)
 _GONE: Final = 410
 _ROWS_PER_PAGE: Final = 500
 
@@ -65,24 +74,48 @@
     revision: int
 
 
+class _StoreRequest:
+    """One HTTP request to the store, and the future of its outcome."""
+
+    expects_body = True
+
+    def __init__(self, content: bytes) -> None:
+        self._content = content
+        loop = asyncio.get_running_loop()
+        self.outcome: asyncio.Future[BackendOutcome] = loop.create_future()
+
+    def render(self) -> bytes:
+        """Return the bytes of the request."""
+        return self._content
+
+    def matches(self, head: AnswerHead) -> bool:
+        """Return True: a connection carries one request at a time."""
+        return True
+
+    def finish(self, outcome: BackendOutcome) -> None:
+        """Set the outcome, unless the request has timed out."""
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+
+
 class StoreClient:
     """Reads and writes rows of the store for one node.
 
     Parameters
     ----------
-    session : aiohttp.ClientSession
-        HTTP session that holds the connections to the store.
     address : VmAddress
         Address at which the store listens.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        address: VmAddress,
-    ) -> None:
-        self._session = session
-        self._url = f'http://{address}'
+    def __init__(self, address: VmAddress) -> None:
+        self._address = address
+        self._pool = BackendConnectionPool(
+            address, MAX_ANSWER_BYTES, _ignore_refusal
+        )
+
+    def close(self) -> None:
+        """Close the connections to the store."""
+        self._pool.close()
 
     async def read(self, table: str) -> Rows:
         """Return all rows of a table.
@@ -169,7 +202,10 @@
     async def _transact(self, entries: Mapping[str, Any]) -> None:
         body = {'precondition': [], 'writes': [], 'remove': [], **entries}
         await self._request(
-            'POST', '/rows-tx', REQUEST_TIMEOUT_SECONDS, json=body
+            'POST',
+            '/rows-tx',
+            REQUEST_TIMEOUT_SECONDS,
+            json.dumps(body).encode(),
         )
 
     async def _get(
@@ -178,46 +214,53 @@
         query: Mapping[str, str],
         timeout_seconds: float,
     ) -> dict[str, Any]:
-        return await self._request('GET', path, timeout_seconds, params=query)
+        return await self._request(
+            'GET', f'{path}?{urlencode(query)}', timeout_seconds, b''
+        )
 
     async def _request(
         self,
         method: str,
-        path: str,
+        target: str,
         timeout_seconds: float,
-        **options: Any,
+        body: bytes,
     ) -> dict[str, Any]:
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_seconds,
-            sock_connect=CONNECT_TIMEOUT_SECONDS,
-        )
+        name = f'store request {method} {target.partition("?")[0]}'
+        request = _StoreRequest(self._render(method, target, body))
+        connection = self._pool.submit(request)
         try:
-            async with self._session.request(
-                method,
-                self._url + path,
-                timeout=timeout,
-                **options,
-            ) as response:
-                body = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            async with asyncio.timeout(timeout_seconds):
+                answer = await request.outcome
+        except TimeoutError as error:
             raise PlatformError(
-                f'store request {method} {path} failed: {error!r}',
+                f'{name}: no answer within {timeout_seconds} s'
             ) from error
-        if response.status == _GONE:
+        finally:
+            connection.cancel(request)
+        if not isinstance(answer, BackendAnswer):
+            raise PlatformError(f'{name} failed: {answer.kind.value}')
+        if answer.status == _GONE:
             raise HistoryLostError(
-                f'store request {method} {path}: status 410, the changes '
-                'since the revision are no longer kept',
-            )
-        if not response.ok:
-            raise PlatformError(
-                f'store request {method} {path}: status {response.status}',
+                f'{name}: status 410, the changes since the revision are no '
+                'longer kept',
             )
+        if answer.status not in _SUCCESS:
+            raise PlatformError(f'{name}: status {answer.status}')
         try:
-            return read_json_object(json.loads(body))
+            return read_json_object(json.loads(answer.body))
         except ValueError as error:
-            raise PlatformError(
-                f'store request {method} {path}: malformed answer: {error}',
-            ) from error
+            raise PlatformError(f'{name}: malformed answer: {error}') from error
+
+    def _render(self, method: str, target: str, body: bytes) -> bytes:
+        lines = [f'{method} {target} HTTP/1.1', f'Host: {self._address}']
+        if body:
+            length = f'Content-Length: {len(body)}'
+            lines.extend(('Content-Type: application/json', length))
+        return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+def _ignore_refusal() -> None:
+    """Do nothing: a refused connection already fails the request."""
 
 
 def _decode_rows(answer: dict[str, Any]) -> Rows:
--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -30,6 +30,7 @@
     decode_frame,
     encode_frame,
 )
+from mustardshunt.relay._http_parser import AnswerHead
 from mustardshunt.relay._loop import make_event_loop
 from mustardshunt.relay._messages import (
     HOP_BY_HOP_HEADERS,
@@ -45,6 +46,7 @@
 
 __all__ = [
     'HOP_BY_HOP_HEADERS',
+    'AnswerHead',
     'AnswerLost',
     'Answered',
     'BackendAnswer',
--- a/mustardshunt/relay/_backend_pool.py
+++ b/mustardshunt/relay/_backend_pool.py
@@ -5,14 +5,10 @@
 import functools
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Final, Protocol, TypeAlias
-
-from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from typing import Final, Protocol, TypeAlias, cast
 
 from mustardshunt.base import VmAddress
+from mustardshunt.relay._http_parser import AnswerHead, AnswerParser
 from mustardshunt.relay._messages import RawHeaders
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -25,7 +21,6 @@
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 5.0
 # Largest number of Keep-Alive header values whose parsed timeouts are cached.
 KEEP_ALIVE_CACHE_SIZE: Final = 64
-_FIRST_FINAL_STATUS: Final = 200
 _TIMEOUT_PARAMETER: Final = 'timeout='
 
 
@@ -88,7 +83,7 @@
         """Return the bytes of the HTTP/1.1 request: head and body."""
         ...
 
-    def matches(self, message: RawResponseMessage) -> bool:
+    def matches(self, head: AnswerHead) -> bool:
         """Return whether an answer belongs to this call.
 
         On a reused connection, a late answer may belong to an earlier call.
@@ -168,19 +163,23 @@
             connection.abort()
 
 
-class _Connection(BaseProtocol):
+class _Connection(asyncio.Protocol):
     """One connection to the backend server, with the task that serves it."""
 
     __slots__ = (
         '_answer',
         '_expects_body',
+        '_has_matched',
+        '_head',
         '_is_out_of_sync',
         '_job',
         '_keep_alive_seconds',
-        '_message',
-        '_payload',
+        '_loop',
+        '_parser',
         '_pool',
+        '_should_close',
         '_task',
+        '_transport',
         '_wake',
         'idle_until',
     )
@@ -191,23 +190,18 @@
         loop: asyncio.AbstractEventLoop,
         job: BackendJob,
     ) -> None:
-        super().__init__(loop)
-        self._parser: Any = HttpResponseParser(
-            self,
-            loop,
-            pool.max_body_bytes,
-            read_until_eof=True,
-            auto_decompress=False,
-            response_with_body=job.expects_body,
-        )
+        self._loop = loop
+        self._parser = AnswerParser(self, pool.max_body_bytes, job.expects_body)
         self._expects_body = job.expects_body
         self._pool = pool
         self._job: BackendJob | None = job
-        self._message: RawResponseMessage | None = None
-        self._payload: StreamReader | None = None
+        self._head: AnswerHead | None = None
+        self._has_matched = False
+        self._should_close = False
         self._answer: asyncio.Future[BackendOutcome] | None = None
         self._wake: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
+        self._transport: asyncio.Transport | None = None
         self._is_out_of_sync = False
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.idle_until = 0.0
@@ -225,7 +219,7 @@
             False when the connection is closed or was idle for too long: the
             call was not sent.
         """
-        if self.transport is None or self.transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
             return False
         if self.idle_until <= now:
             self.abort()
@@ -249,80 +243,56 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
-        if self.transport is not None:
-            self.transport.abort()
-
-    def pause_reading(self) -> None:
-        """Do nothing: bodies of limited size are buffered completely."""
+        if self._transport is not None:
+            self._transport.abort()
 
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Do nothing, since reading is never paused."""
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport of the new connection."""
+        self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Parse received bytes; bytes without a waiting call are no answer."""
         if self._answer is None or self._answer.done():
-            # No call waits for an answer, so these bytes belong to no call.
             self._is_out_of_sync = True
             self.abort()
             return
         try:
-            messages, _, _ = self._parser.feed_data(data)
-        except HttpProcessingError:
+            self._parser.feed(data)
+        except ValueError:
             self._is_out_of_sync = True
             self._set_outcome(
                 BackendFailure(FailureKind.INVALID, has_begun=True)
             )
-            return
-        for message, payload in messages:
-            self._accept_message(message, payload)
-        self._finish_if_complete()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        super().connection_lost(exc)
-        if exc is None:
-            self._finish_at_eof()
+        """Finish an answer that ends with the connection, or fail the call."""
+        self._transport = None
+        if exc is None and self._answer is not None:
+            self._parser.feed_end()
         self._set_outcome(BackendFailure(FailureKind.LOST, has_begun=True))
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
 
-    def _accept_message(
-        self, message: RawResponseMessage, payload: StreamReader
-    ) -> None:
-        if message.code < _FIRST_FINAL_STATUS:
-            return
+    def begin_answer(self, head: AnswerHead) -> None:
+        """Check whether an answer belongs to the current call."""
         job = self._job
-        if self._message is not None or job is None or not job.matches(message):
+        if self._head is not None or job is None or not job.matches(head):
             # This is an answer to an earlier call, or a second answer. The
             # answer to the current call may still follow, but the connection is
             # not reused afterwards.
             self._is_out_of_sync = True
+            self._has_matched = False
             return
-        self._message = message
-        self._payload = payload
+        self._has_matched = True
+        self._head = head
 
-    def _finish_if_complete(self) -> None:
-        payload = self._payload
-        message = self._message
-        if message is None or payload is None:
+    def end_answer(self, body: bytes, should_close: bool) -> None:
+        """Report the complete answer if it belongs to the current call."""
+        head = self._head
+        if head is None or not self._has_matched:
             return
-        if payload is not EMPTY_PAYLOAD and not payload.is_eof():
-            if payload.total_bytes > self._pool.max_body_bytes:
-                self._set_outcome(BackendFailure(FailureKind.INVALID, True))
-                self.abort()
-            return
-        body = b'' if payload is EMPTY_PAYLOAD else payload.read_nowait(-1)
-        self._set_outcome(
-            BackendAnswer(message.code, message.raw_headers, body)
-        )
-
-    def _finish_at_eof(self) -> None:
-        try:
-            self._parser.feed_eof()
-        except HttpProcessingError:
-            # The body is truncated; connection_lost then reports the call as
-            # lost.
-            return
-        if self._answer is not None and not self._answer.done():
-            self._finish_if_complete()
+        self._should_close = should_close
+        self._set_outcome(BackendAnswer(head.status, head.raw_headers, body))
 
     def _set_outcome(self, outcome: BackendOutcome) -> None:
         if self._answer is not None and not self._answer.done():
@@ -330,11 +300,14 @@
 
     def _send(self, job: BackendJob) -> None:
         self._job = job
-        self._message = None
-        self._payload = None
+        self._head = None
+        self._has_matched = False
         self._answer = self._loop.create_future()
-        if self.transport is not None:
-            self.transport.write(job.render())
+        self._parser.expect_answer()
+        if self._transport is None:
+            self._set_outcome(BackendFailure(FailureKind.LOST, False))
+            return
+        self._transport.write(job.render())
 
     async def _run(self) -> None:
         try:
@@ -391,14 +364,14 @@
             self._wake = None
 
     def _can_be_reused(self, outcome: BackendOutcome) -> bool:
-        message = self._message
-        if self._is_out_of_sync or self.transport is None or message is None:
+        head = self._head
+        if self._is_out_of_sync or self._transport is None or head is None:
             return False
-        if not self._expects_body:
+        if not self._expects_body or not self._parser.is_idle:
             return False
-        if not isinstance(outcome, BackendAnswer) or message.should_close:
+        if not isinstance(outcome, BackendAnswer) or self._should_close:
             return False
-        header_value = message.headers.get('Keep-Alive')
+        header_value = head.headers.get('keep-alive')
         if header_value is not None:
             self._keep_alive_seconds = _parse_keep_alive(header_value)
         return self._keep_alive_seconds > 0
--- /dev/null
+++ b/mustardshunt/relay/_caller_connection.py
@@ -0,0 +1,372 @@
+"""One connection of a caller, with the task that serves it."""
+
+import asyncio
+import http
+from collections import deque
+from typing import Final, Protocol, cast
+
+from loguru import logger
+
+from mustardshunt.policy import RequestLimits
+from mustardshunt.relay._http_parser import ParsedRequest, RequestParser
+from mustardshunt.relay._messages import (
+    STATUS_WITHOUT_BODY,
+    HttpRequest,
+    HttpResponse,
+    RequestHandler,
+)
+
+# Requests of one connection that are handled side by side. The callers of one
+# connection thus never take more than a small part of a backend server.
+MAX_CONCURRENT_REQUESTS: Final = 8
+# Received requests of one connection that wait to be handled. Above this
+# number, the connection is not read until a request has been answered.
+MAX_QUEUED_REQUESTS: Final = 32
+# Bytes of responses that wait for an earlier response. Above this size, no
+# further request is handled early.
+MAX_HELD_RESPONSE_BYTES: Final = 1024 * 1024
+# Time for which a refused caller's further bytes are read and discarded.
+LINGER_SECONDS: Final = 1.0
+_STATUS_LINE: Final = {
+    status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
+    for status in http.HTTPStatus
+}
+_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class ConnectionOwner(Protocol):
+    """Server to which the connections of callers belong."""
+
+    handler: RequestHandler
+    is_closing: bool
+
+    def limits(self) -> RequestLimits:
+        """Return the limits on requests that apply now."""
+        ...
+
+    def add(self, connection: 'CallerConnection') -> None:
+        """Register an open connection."""
+        ...
+
+    def discard(self, connection: 'CallerConnection') -> None:
+        """Remove a closed connection."""
+        ...
+
+
+class _RefusedRequestError(Exception):
+    """Request that is refused before it reaches the handler."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _StartedRequest:
+    """Request that is handled while an earlier one is not answered yet."""
+
+    __slots__ = ('parsed', 'task')
+
+    def __init__(
+        self,
+        parsed: ParsedRequest,
+        task: asyncio.Task[HttpResponse],
+    ) -> None:
+        self.parsed = parsed
+        self.task = task
+
+    def held_bytes(self) -> int:
+        """Return the size of the response, 0 while the request is handled."""
+        if not self.task.done() or self.task.cancelled():
+            return 0
+        return len(self.task.result().body)
+
+
+class CallerConnection(asyncio.Protocol):
+    """Reads the requests of one caller and writes their responses in order.
+
+    A repeatable request is handled while earlier repeatable requests are still
+    being handled. Any other request is handled only when all requests before it
+    have been answered, and no request behind it is handled before its response
+    has been written. A request behind one that ends the connection is not
+    handled, since its caller sends it again on another connection.
+
+    Parameters
+    ----------
+    owner : ConnectionOwner
+        Server to which the connection belongs.
+    loop : asyncio.AbstractEventLoop
+        Event loop of the process.
+    """
+
+    __slots__ = (
+        '_can_overlap',
+        '_current',
+        '_drain_waiter',
+        '_is_reading_paused',
+        '_loop',
+        '_owner',
+        '_parser',
+        '_received_at',
+        '_started',
+        '_task',
+        '_timer_start',
+        '_transport',
+        '_unwritten',
+        '_wake',
+        'is_idle',
+    )
+
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._owner = owner
+        self._loop = loop
+        self._parser = RequestParser(owner.limits)
+        self._transport: asyncio.Transport | None = None
+        self._started: deque[_StartedRequest] = deque()
+        self._current: ParsedRequest | None = None
+        self._can_overlap: bool | None = None
+        self._wake: asyncio.Future[None] | None = None
+        self._drain_waiter: asyncio.Future[None] | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._is_reading_paused = False
+        self._timer_start = loop.time()
+        self._received_at = self._timer_start
+        self._unwritten = (0, self._timer_start)
+        self.is_idle = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the task that serves the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._owner.add(self)
+        self._task = self._loop.create_task(self._run(), name='caller')
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the requests of the connection: their caller has left."""
+        self._transport = None
+        self._owner.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Note that the caller reads more slowly than responses arrive."""
+        self._drain_waiter = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Continue with the next response."""
+        waiter = self._drain_waiter
+        self._drain_waiter = None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; wake the task if it waits for a request."""
+        now = self._loop.time()
+        self._received_at = now
+        if self._parser.error_status:
+            return
+        if self.is_idle:
+            self.is_idle = False
+            self._timer_start = now
+        parser = self._parser
+        parser.feed(data, now)
+        if parser.requests:
+            self._start_ahead()
+            self._limit_reading()
+        elif not parser.error_status and not parser.expects_continue:
+            return
+        self._wake_task()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or served."""
+        if self.is_idle and self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def check_timeouts(self, now: float, limits: RequestLimits) -> None:
+        """Close an idle connection, or one whose caller makes no progress.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop in seconds.
+        limits : RequestLimits
+            Limits that apply now.
+        """
+        if self.is_idle:
+            if now - self._timer_start > limits.idle_timeout:
+                self.close_if_idle()
+            return
+        if self._drain_waiter is not None:
+            self._check_unwritten(now, limits)
+        if self._wake is None or not self._parser.is_receiving:
+            return
+        is_late = now - self._received_at > limits.idle_timeout
+        if self._parser.is_in_head:
+            is_late = now - self._timer_start > limits.header_timeout
+        if is_late:
+            self._parser.error_status = http.HTTPStatus.REQUEST_TIMEOUT
+            self._wake_task()
+
+    def _wake_task(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    def _check_unwritten(self, now: float, limits: RequestLimits) -> None:
+        if self._transport is None:
+            return
+        size = self._transport.get_write_buffer_size()
+        if size != self._unwritten[0]:
+            self._unwritten = (size, now)
+        elif now - self._unwritten[1] > limits.idle_timeout:
+            self.abort()
+
+    async def _run(self) -> None:
+        try:
+            await self._serve_requests()
+        except _RefusedRequestError as error:
+            await self._refuse(error.status)
+        except (ConnectionError, asyncio.CancelledError):
+            # The caller disconnected: this task was cancelled, and the handler
+            # with it.
+            self.abort()
+        finally:
+            for started in self._started:
+                started.task.cancel()
+            if self._transport is not None:
+                self._transport.close()
+
+    async def _refuse(self, status: int) -> None:
+        """Write an error, then discard what the caller still sends.
+
+        If the connection were closed at once, bytes on their way would reset
+        it, and the caller might lose the error.
+        """
+        self._write(HttpResponse(status, b'', b''), is_last=True)
+        if self._transport is not None:
+            self._transport.write_eof()
+            self.is_idle = True
+            self._timer_start = self._loop.time()
+            await asyncio.sleep(LINGER_SECONDS)
+
+    async def _serve_requests(self) -> None:
+        while self._transport is not None:
+            parsed, response = await self._next_response()
+            # What was started is answered before the connection is closed.
+            is_stopping = self._owner.is_closing and not self._started
+            is_last = parsed.should_close or is_stopping
+            self._write(response, is_last, parsed.request.method == 'HEAD')
+            if is_last:
+                return
+            if self._drain_waiter is not None:
+                await self._drain_waiter
+            self._limit_reading()
+            self._start_ahead()
+            if self._started or self._parser.requests:
+                continue
+            self._timer_start = self._loop.time()
+            self.is_idle = not self._parser.is_receiving
+
+    async def _next_response(self) -> tuple[ParsedRequest, HttpResponse]:
+        if self._started:
+            started = self._started.popleft()
+            return started.parsed, await started.task
+        self._current = None
+        self._can_overlap = None
+        parsed = await self._next_request()
+        self._current = parsed
+        self._start_ahead()
+        return parsed, await self._handle(parsed.request)
+
+    async def _next_request(self) -> ParsedRequest:
+        parser = self._parser
+        while not parser.requests:
+            if parser.error_status:
+                raise _RefusedRequestError(parser.error_status)
+            if parser.expects_continue and self._transport is not None:
+                parser.expects_continue = False
+                self._transport.write(_CONTINUE)
+            self._wake = self._loop.create_future()
+            await self._wake
+            self._wake = None
+        return parser.requests.popleft()
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._owner.handler.handle(request)
+        except Exception:
+            logger.exception('internal error in a request; answering 500')
+            return HttpResponse(500, b'', b'')
+
+    def _start_ahead(self) -> None:
+        """Start to handle the received requests that need not wait."""
+        requests = self._parser.requests
+        while requests and self._may_overlap():
+            parsed = requests[0]
+            if not self._owner.handler.is_repeatable(parsed.request):
+                return
+            requests.popleft()
+            task = self._loop.create_task(
+                self._handle(parsed.request), name='pipelined request'
+            )
+            self._started.append(_StartedRequest(parsed, task))
+
+    def _may_overlap(self) -> bool:
+        current = self._current
+        if current is None or self._owner.is_closing:
+            return False
+        if self._can_overlap is None:
+            self._can_overlap = (
+                not current.should_close
+                and self._owner.handler.is_repeatable(current.request)
+            )
+        if not self._can_overlap:
+            return False
+        if len(self._started) + 1 >= MAX_CONCURRENT_REQUESTS:
+            return False
+        held_bytes = sum(started.held_bytes() for started in self._started)
+        return held_bytes <= MAX_HELD_RESPONSE_BYTES
+
+    def _limit_reading(self) -> None:
+        if self._transport is None:
+            return
+        is_full = len(self._parser.requests) >= MAX_QUEUED_REQUESTS
+        if is_full == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_full
+        if is_full:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _write(
+        self,
+        response: HttpResponse,
+        is_last: bool,
+        is_head: bool = False,
+    ) -> None:
+        if self._transport is None:
+            return
+        self._transport.write(_render(response, is_last, is_head))
+
+
+def _render(response: HttpResponse, is_last: bool, is_head: bool) -> bytes:
+    parts = [_status_line(response.status), response.head]
+    has_body = not is_head and response.status not in STATUS_WITHOUT_BODY
+    if response.status not in STATUS_WITHOUT_BODY:
+        parts.append(b'Content-Length: %d\r\n' % len(response.body))
+    parts.append(b'Connection: close\r\n\r\n' if is_last else b'\r\n')
+    if has_body:
+        parts.append(response.body)
+    return b''.join(parts)
+
+
+def _status_line(status: int) -> bytes:
+    line = _STATUS_LINE.get(status)
+    return line or f'HTTP/1.1 {status} Status\r\n'.encode()
--- a/mustardshunt/relay/_messages.py
+++ b/mustardshunt/relay/_messages.py
@@ -39,9 +39,13 @@
     raw_headers : tuple of (bytes, bytes)
         Header names and values as received.
     headers : mapping of str to str
-        Header values by header name. Upper and lower case are equal in names.
+        Header values by lower-case name, the first one of each name.
     body : bytes
         Complete body.
+    received_at : float, default=0.0
+        Time in seconds at which the last byte of the request arrived. The
+        caller has waited since then, also while earlier requests on the same
+        connection were served.
     """
 
     method: str
@@ -49,6 +53,7 @@
     raw_headers: RawHeaders
     headers: Mapping[str, str]
     body: bytes
+    received_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +86,14 @@
         """
         ...
 
+    def is_repeatable(self, request: HttpRequest) -> bool:
+        """Tell whether the effect of a request stays the same if it runs twice.
+
+        Such a request may be handled while earlier requests on the same
+        connection are still being handled.
+        """
+        ...
+
 
 @functools.lru_cache(maxsize=NAME_CACHE_SIZE)
 def lower_name(name: bytes) -> bytes:
--- a/mustardshunt/relay/tests/test_backend_pool.py
+++ b/mustardshunt/relay/tests/test_backend_pool.py
@@ -6,10 +6,10 @@
 import struct
 
 import pytest
-from aiohttp.http_parser import RawResponseMessage
 
 from mustardshunt.base import VmAddress
 from mustardshunt.relay import (
+    AnswerHead,
     BackendAnswer,
     BackendConnectionPool,
     BackendFailure,
@@ -19,20 +19,24 @@
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\n'
 UNRELATED_ANSWER = b'HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 3\r\n\r\nold'
+CHUNKED_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 RESET = object()
 
 
 class Job:
-    def __init__(self, expects_body: bool = True) -> None:
+    def __init__(self, expects_body: bool = True, wanted: str = '1') -> None:
         self.expects_body = expects_body
+        self._wanted = wanted
         loop = asyncio.get_running_loop()
         self.outcome: asyncio.Future[BackendOutcome] = loop.create_future()
 
     def render(self) -> bytes:
         return b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 
-    def matches(self, message: RawResponseMessage) -> bool:
-        return message.headers.get('X-Id') == '1'
+    def matches(self, head: AnswerHead) -> bool:
+        return head.headers.get('x-id') == self._wanted
 
     def finish(self, outcome: BackendOutcome) -> None:
         self.outcome.set_result(outcome)
@@ -64,6 +68,8 @@
                 return
             writer.write(piece)
             await asyncio.sleep(0.01)
+            if writer.is_closing():
+                return
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     address = VmAddress(*server.sockets[0].getsockname()[:2])
@@ -185,3 +191,145 @@
         await closed.wait()
         assert isinstance(await job.outcome, BackendFailure)
     server.close()
+
+
+REFUSAL = b'HTTP/1.1 503 Busy\r\n%bNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+async def exchange_twice(
+    first: bytes, between: bytes, second: bytes
+) -> tuple[BackendOutcome, BackendOutcome | None, int]:
+    """Send two requests to a server that keeps its connections.
+
+    The server answers the first request with ``first``. It writes ``between``
+    when it has received the second request, if that arrives on the same
+    connection, and answers with ``second`` 0.05 s later.
+
+    Returns
+    -------
+    tuple
+        Outcome of each call, the second one None if it has no outcome within
+        0.3 s, and the number of connections.
+    """
+    connections = 0
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal connections
+        connections += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if connections == 1:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(first)
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(between if connections == 1 else b'')
+            await asyncio.sleep(0.05)
+            writer.write(second)
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    address = VmAddress(*server.sockets[0].getsockname()[:2])
+    pool = BackendConnectionPool(address, 1 << 20, lambda: None)
+    former = Job(wanted='0')
+    pool.submit(former)
+    async with asyncio.timeout(3):
+        former_outcome = await former.outcome
+    job = Job()
+    pool.submit(job)
+    outcome = None
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.3):
+            outcome = await asyncio.shield(job.outcome)
+    pool.close()
+    server.close()
+    return former_outcome, outcome, connections
+
+
+@pytest.mark.parametrize('header', [b'X-Id: 0\r\n', b'', b'X-Id: 9\r\n'])
+async def test_repeated_refusal_is_not_taken_for_the_current_call(
+    header: bytes,
+):
+    """An earlier refusal that is written again must refuse nothing.
+
+    The backend server runs the current call. If the refusal counted for this
+    call, the caller would be told that it has not run, and another backend
+    server might run it again.
+    """
+    first = REFUSAL % b'X-Id: 0\r\n'
+    repeated = REFUSAL % header
+    former, outcome, _ = await exchange_twice(first, repeated, HEAD + b'abcd')
+    assert isinstance(former, BackendAnswer)
+    assert former.status == 503
+    assert isinstance(outcome, BackendAnswer)
+    assert outcome.body == b'abcd'
+
+
+@pytest.mark.parametrize('length', range(1, 66))
+@pytest.mark.parametrize('order', [1, -1])
+async def test_half_of_a_repeated_refusal_is_no_answer(length: int, order: int):
+    """Half of an earlier refusal must not become the head of an answer.
+
+    The status or a header of the refusal would otherwise be read together with
+    the id of the current call, which runs.
+    """
+    headers = [b'X-Id: 0\r\n', b'Not-Run: 1\r\n', b'Content-Length: 0\r\n']
+    head = b''.join(headers[::order])
+    refusal = b'HTTP/1.1 503 Busy\r\n%b\r\n' % head
+    _, outcome, _ = await exchange_twice(
+        refusal, refusal[:length], HEAD + b'abcd'
+    )
+    if isinstance(outcome, BackendAnswer):
+        assert (outcome.status, outcome.body) == (200, b'abcd')
+        names = [name.lower() for name, _ in outcome.raw_headers]
+        assert b'not-run' not in names
+
+
+async def test_refusal_on_an_idle_connection_ends_the_connection():
+    """A second copy of a refusal must not wait for the next call."""
+    refusal = REFUSAL % b'X-Id: 0\r\n'
+    _, outcome, connections = await exchange_twice(
+        refusal + refusal, b'', HEAD + b'abcd'
+    )
+    assert isinstance(outcome, BackendAnswer)
+    assert outcome.status == 200
+    assert connections == 2
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'', b'x'),
+        (b'HTTP/1.1 200 ', b'O'),
+        (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
+        (b'HTTP/1.1 200 OK\r\nA: ', b'b'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n', b'x'),
+        (b'HTTP/1.1 200 OK\r\nX-Id: 9\r\n\r\n', b'x'),
+        (
+            CHUNKED_HEAD + b'1',
+            b'0',
+        ),
+        (
+            CHUNKED_HEAD + b'1;a=',
+            b'x',
+        ),
+        (
+            CHUNKED_HEAD,
+            b'1\r\nx\r\n',
+        ),
+    ],
+)
+async def test_answer_without_end_is_ended_by_the_pool(
+    start: bytes, repeated: bytes
+):
+    """Bytes that never end must not fill the memory of the node.
+
+    The server sends until its connection is closed. The call may have run.
+    """
+    pieces = [start, *[repeated * (65536 // len(repeated))] * 80]
+    outcome, pool = await exchange(*pieces)
+    assert outcome == BackendFailure(FailureKind.INVALID, has_begun=True)
+    assert not pool.idle
+    assert not pool._connections
--- /dev/null
+++ b/mustardshunt/relay/tests/test_caller_connection.py
@@ -0,0 +1,391 @@
+"""Tests of pipelined, malformed and endless requests on one connection."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from mustardshunt.base import VmAddress
+from mustardshunt.policy import RequestLimits
+from mustardshunt.relay import HttpRequest, HttpResponse, HttpServer
+from mustardshunt.relay._caller_connection import (
+    MAX_CONCURRENT_REQUESTS,
+    MAX_QUEUED_REQUESTS,
+)
+
+LIMITS = RequestLimits(
+    max_header_bytes=2048,
+    max_body_bytes=4096,
+    header_timeout=0.6,
+    idle_timeout=1.2,
+)
+
+
+# A request whose length two headers state differently.
+AMBIGUOUS_LENGTH = (
+    'POST / HTTP/1.1\r\nContent-Length: 1\r\n'
+    'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+)
+
+
+class HeldHandler:
+    """Holds each request until the test releases its target."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
+        self.body_by_target: dict[str, bytes] = {}
+        self._event_by_target: dict[str, asyncio.Event] = {}
+
+    def release(self, *targets: str) -> None:
+        for target in targets:
+            self._event(target).set()
+
+    def is_repeatable(self, request: HttpRequest) -> bool:
+        return request.method == 'GET'
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        self.started.append(request.target)
+        try:
+            await self._event(request.target).wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        if request.target == '/error':
+            raise RuntimeError('handler failed')
+        body = self.body_by_target.get(request.target, request.body)
+        return HttpResponse(
+            200, b'X-Target: %b\r\n' % request.target.encode(), body
+        )
+
+    def _event(self, target: str) -> asyncio.Event:
+        return self._event_by_target.setdefault(target, asyncio.Event())
+
+
+class Caller:
+    """A raw connection of a caller to the server under test."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self.writer = writer
+
+    def send(self, *targets: str, method: str = 'GET') -> None:
+        for target in targets:
+            self.write(f'{method} {target} HTTP/1.1\r\nHost: h\r\n\r\n')
+
+    def write(self, text: str) -> None:
+        self.writer.write(text.encode())
+
+    async def read_answer(self) -> tuple[int, str, bool]:
+        """Return status, target and whether the answer closes."""
+        async with asyncio.timeout(3):
+            head = (await self._reader.readuntil(b'\r\n\r\n')).decode()
+            lines = head.split('\r\n')
+            by_name = dict(line.split(': ') for line in lines[1:] if line)
+            length = int(by_name.get('Content-Length', '0'))
+            await self._reader.readexactly(length)
+        return (
+            int(lines[0].split()[1]),
+            by_name.get('X-Target', ''),
+            by_name.get('Connection') == 'close',
+        )
+
+    async def read_to_end(self) -> bytes:
+        async with asyncio.timeout(4):
+            with contextlib.suppress(ConnectionError):
+                return await self._reader.read()
+        return b''
+
+
+class Fixture:
+    def __init__(self) -> None:
+        self.handler = HeldHandler()
+        self.server = HttpServer(self.handler, lambda: LIMITS)
+        self._callers: list[Caller] = []
+
+    async def connect(self) -> Caller:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.port, limit=1 << 16
+        )
+        caller = Caller(reader, writer)
+        self._callers.append(caller)
+        return caller
+
+    async def start(self) -> None:
+        await self.server.listen(VmAddress('127.0.0.1', 0))
+        assert self.server._server is not None
+        listener = self.server._server.sockets[0]
+        self.port = listener.getsockname()[1]
+
+    def stop(self) -> None:
+        for caller in self._callers:
+            caller.writer.close()
+        self.server.close()
+
+    async def wait_started(self, *targets: str) -> None:
+        async with asyncio.timeout(3):
+            while self.handler.started != list(targets):
+                await asyncio.sleep(0.005)
+
+
+@pytest_asyncio.fixture
+async def fixture() -> AsyncIterator[Fixture]:
+    fixture = Fixture()
+    await fixture.start()
+    yield fixture
+    fixture.stop()
+
+
+async def settle() -> None:
+    """Give the server time for what it must not do."""
+    await asyncio.sleep(0.05)
+
+
+async def test_reads_are_handled_side_by_side_and_answered_in_order(
+    fixture: Fixture,
+):
+    """A slow first read must not delay the work of the reads behind it."""
+    caller = await fixture.connect()
+    caller.send('/1', '/2', '/3')
+    await fixture.wait_started('/1', '/2', '/3')
+    fixture.handler.release('/3', '/2')
+    await settle()
+    fixture.handler.release('/1')
+    answers = [await caller.read_answer() for _ in range(3)]
+    assert [target for _, target, _ in answers] == ['/1', '/2', '/3']
+
+
+async def test_order_waits_for_earlier_reads_and_is_not_overtaken(
+    fixture: Fixture,
+):
+    """An order must not start early, nor a read behind it.
+
+    If the connection closed before an earlier answer, the caller would send
+    all requests behind that answer again, and the order would run twice.
+    """
+    caller = await fixture.connect()
+    caller.send('/1')
+    caller.send('/order', method='POST')
+    caller.send('/2')
+    await fixture.wait_started('/1')
+    await settle()
+    assert fixture.handler.started == ['/1']
+    fixture.handler.release('/1')
+    assert (await caller.read_answer())[1] == '/1'
+    await fixture.wait_started('/1', '/order')
+    await settle()
+    assert fixture.handler.started == ['/1', '/order']
+    fixture.handler.release('/order', '/2')
+    assert (await caller.read_answer())[1] == '/order'
+    assert (await caller.read_answer())[1] == '/2'
+
+
+async def test_pipelined_requests_of_one_connection_are_bounded(
+    fixture: Fixture,
+):
+    """A caller that pipelines without end must not take all capacity.
+
+    Beyond the bound the connection is not read, so memory stays bounded and
+    the caller's writes block; other callers are served.
+    """
+    caller = await fixture.connect()
+    padding = 'x' * 1000
+    for number in range(20000):
+        caller.write(
+            f'GET /{number} HTTP/1.1\r\nHost: h\r\nA: {padding}\r\n\r\n'
+        )
+    await asyncio.sleep(0.3)
+    assert len(fixture.handler.started) == MAX_CONCURRENT_REQUESTS
+    connection = next(iter(fixture.server._connections))
+    # One packet of the event loop may hold more requests than the bound.
+    packet_requests = 262144 // 1000
+    assert len(connection._parser.requests) < (
+        MAX_QUEUED_REQUESTS + packet_requests
+    )
+    other = await fixture.connect()
+    other.send('/other')
+    fixture.handler.release('/other')
+    assert (await other.read_answer())[0] == 200
+    fixture.handler.release(*(f'/{number}' for number in range(60)))
+    for number in range(60):
+        assert (await caller.read_answer())[1] == f'/{number}'
+
+
+async def test_nothing_behind_a_closing_request_is_handled(fixture: Fixture):
+    """What is sent behind a closing answer counts as not read.
+
+    The caller sends these requests again, so none may have been handled.
+    """
+    caller = await fixture.connect()
+    caller.write(
+        'GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        'GET /2 HTTP/1.1\r\nHost: h\r\n\r\n'
+    )
+    await fixture.wait_started('/1')
+    await settle()
+    assert fixture.handler.started == ['/1']
+    fixture.handler.release('/1')
+    assert await caller.read_answer() == (200, '/1', True)
+    assert await caller.read_to_end() == b''
+
+
+async def test_closing_request_behind_others_closes_after_its_own_answer(
+    fixture: Fixture,
+):
+    """A pipelined request that asks for a close ends the connection last."""
+    caller = await fixture.connect()
+    caller.send('/1')
+    caller.write('GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n')
+    caller.send('/3')
+    await fixture.wait_started('/1', '/2')
+    fixture.handler.release('/1', '/2')
+    assert await caller.read_answer() == (200, '/1', False)
+    assert await caller.read_answer() == (200, '/2', True)
+    assert await caller.read_to_end() == b''
+    assert fixture.handler.started == ['/1', '/2']
+
+
+async def test_planned_stop_answers_what_was_started_and_starts_no_more(
+    fixture: Fixture,
+):
+    """A stop must not cut requests that were passed on.
+
+    The connection closes with the answer to the last request that was started.
+    """
+    caller = await fixture.connect()
+    caller.send('/1', '/2')
+    await fixture.wait_started('/1', '/2')
+    fixture.server.is_closing = True
+    caller.send('/3')
+    await settle()
+    fixture.handler.release('/1', '/2', '/3')
+    assert await caller.read_answer() == (200, '/1', False)
+    assert await caller.read_answer() == (200, '/2', True)
+    assert await caller.read_to_end() == b''
+    assert fixture.handler.started == ['/1', '/2']
+
+
+async def test_disconnect_cancels_all_requests_of_the_connection(
+    fixture: Fixture,
+):
+    """No request may keep its work after the caller has left."""
+    caller = await fixture.connect()
+    caller.send('/1', '/2', '/3')
+    await fixture.wait_started('/1', '/2', '/3')
+    caller.writer.transport.abort()
+    async with asyncio.timeout(3):
+        while len(fixture.handler.cancelled) < 3:
+            await asyncio.sleep(0.005)
+
+
+async def test_internal_error_is_the_answer_of_its_request_alone(
+    fixture: Fixture,
+):
+    """An error in one pipelined request must not cut the others off."""
+    caller = await fixture.connect()
+    caller.send('/1', '/error', '/3')
+    await fixture.wait_started('/1', '/error', '/3')
+    fixture.handler.release('/1', '/error', '/3')
+    answers = [await caller.read_answer() for _ in range(3)]
+    assert [status for status, _, _ in answers] == [200, 500, 200]
+
+
+@pytest.mark.parametrize('is_one_packet', [True, False])
+async def test_good_request_before_a_malformed_head_is_answered(
+    fixture: Fixture, is_one_packet: bool
+):
+    """A malformed head must not take the answer of the request before it."""
+    caller = await fixture.connect()
+    caller.send('/1')
+    if not is_one_packet:
+        await fixture.wait_started('/1')
+    caller.write('GET\0 /2 HTTP/1.1\r\n\r\n')
+    await fixture.wait_started('/1')
+    fixture.handler.release('/1')
+    assert await caller.read_answer() == (200, '/1', False)
+    assert await caller.read_answer() == (400, '', True)
+    assert await caller.read_to_end() == b''
+
+
+async def test_half_a_head_behind_a_good_request_times_out(fixture: Fixture):
+    """Half a head must not hold the connection for ever.
+
+    The good request before it is answered first.
+    """
+    caller = await fixture.connect()
+    caller.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHo')
+    await fixture.wait_started('/1')
+    fixture.handler.release('/1')
+    assert await caller.read_answer() == (200, '/1', False)
+    assert await caller.read_answer() == (408, '', True)
+
+
+async def test_body_that_stops_halfway_times_out(fixture: Fixture):
+    """A body without progress must not hold the connection for ever."""
+    caller = await fixture.connect()
+    caller.write('POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab')
+    assert await caller.read_answer() == (408, '', True)
+    assert not fixture.handler.started
+
+
+async def test_caller_that_stops_reading_is_closed(fixture: Fixture):
+    """A caller that reads nothing must not hold its responses for ever."""
+    fixture.handler.body_by_target['/1'] = b'x' * (16 * 1024 * 1024)
+    fixture.handler.release('/1')
+    caller = await fixture.connect()
+    caller.send('/1')
+    async with asyncio.timeout(5):
+        while not fixture.handler.started or fixture.server._connections:
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize(
+    ('text', 'status'),
+    [
+        ('GET /' + 'x' * 5000, 431),
+        ('GET / HTTP/1.1\r\nHost: h\r\nA: ' + 'x' * 5000, 431),
+        ('GET / HTTP/1.1\r\nHost: h\r\n' + 'A: b\r\n' * 600, 431),
+        ('POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n', 413),
+        (
+            'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n'
+            + 'x' * 5000,
+            413,
+        ),
+        ('GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n', 400),
+        (
+            AMBIGUOUS_LENGTH,
+            400,
+        ),
+        ('GET / HTTP/1.1\r\nA : b\r\n\r\n', 400),
+        ('\x16\x03\x01\x02\x00\x01\x00\r\n\r\n', 400),
+    ],
+)
+async def test_bad_request_gets_an_error_and_a_close(
+    fixture: Fixture, text: str, status: int
+):
+    """Oversized or ambiguous requests get an error and reach no handler."""
+    caller = await fixture.connect()
+    for start in range(0, len(text), 700):
+        caller.write(text[start : start + 700])
+        await asyncio.sleep(0.001)
+    assert await caller.read_answer() == (status, '', True)
+    assert not fixture.handler.started
+
+
+async def test_request_split_at_every_byte_is_parsed(fixture: Fixture):
+    """The boundaries of packets must not change a request."""
+    text = (
+        'POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        '3\r\nabc\r\n0\r\n\r\n'
+    )
+    fixture.handler.release('/1')
+    for end, _ in enumerate(text):
+        caller = await fixture.connect()
+        caller.write(text[:end])
+        await asyncio.sleep(0.001)
+        caller.write(text[end:])
+        assert await caller.read_answer() == (200, '/1', False)
--- a/mustardshunt/sidecar/_control.py
+++ b/mustardshunt/sidecar/_control.py
@@ -35,6 +35,10 @@
         status = _OK if self._lifecycle.is_ready else _UNAVAILABLE
         return HttpResponse(status, b'', self._lifecycle.state.encode())
 
+    def is_repeatable(self, request: HttpRequest) -> bool:
+        """Return False: checks are answered one after the other."""
+        return False
+
 
 class MetricsHandler:
     """Serves ``/metrics`` in the Prometheus text format.
@@ -62,6 +66,10 @@
         self._refresh()
         return HttpResponse(_OK, _TEXT, self._metrics.render())
 
+    def is_repeatable(self, request: HttpRequest) -> bool:
+        """Return False: readings are taken one after the other."""
+        return False
+
 
 class HeartbeatCodec(Protocol):
     """Parses heartbeats and departures that a backend server sends."""
@@ -112,3 +120,7 @@
             self._callee.leave(instance)
             return self._codec.acknowledge()
         return self._codec.reject(request)
+
+    def is_repeatable(self, request: HttpRequest) -> bool:
+        """Return False: heartbeats are handled in the order of arrival."""
+        return False
--- a/mustardshunt/sidecar/_ingress.py
+++ b/mustardshunt/sidecar/_ingress.py
@@ -138,6 +138,7 @@
             HOP_BY_HOP_HEADERS | header_codec.reserved_headers
         )
         self._next_number = 0
+        self._served_ids: set[str] = set()
         self.is_stopped = False
         self.dependencies = Dependencies()
         self._dependent_route_cache = DependentRouteCache()
@@ -148,13 +149,14 @@
         The node itself answers refused requests and requests whose deadline
         has expired.
         """
-        started_at = self._clock.now()
+        started_at = request.received_at or self._clock.now()
         metadata = self._header_codec.read_request(request)
         try:
             context = self._admit(request, metadata, started_at)
         except RefusedError as error:
             return self._refuse(error, metadata, '', '', started_at)
         outcome = 'cancelled'
+        self._served_ids.add(metadata.request_id)
         try:
             async with asyncio.timeout_at(context.deadline):
                 response = await self._serve(context)
@@ -168,6 +170,7 @@
         else:
             return response
         finally:
+            self._served_ids.discard(metadata.request_id)
             self._count_request(context, outcome)
         return self._refuse(
             refusal,
@@ -177,6 +180,15 @@
             started_at,
         )
 
+    def is_repeatable(self, request: HttpRequest) -> bool:
+        """Tell whether a request's route says that it may run twice."""
+        active_policy = self._registry.active
+        if active_policy is None:
+            return False
+        host = request.headers.get('host', '')
+        route = active_policy.routes.find(host, request.target)
+        return route is not None and route.is_idempotent
+
     def _admit(
         self,
         request: HttpRequest,
@@ -186,12 +198,14 @@
         active_policy = self._registry.active
         if active_policy is None or self.is_stopped:
             raise RefusedError(Reason.NOT_READY, MIN_RETRY_AFTER_SECONDS * 4)
-        host = request.headers.get('Host', '')
+        host = request.headers.get('host', '')
         route = active_policy.routes.find(host, request.target)
         if route is None:
             raise RefusedError(Reason.UNKNOWN_ROUTE)
         organisation = find_organisation(route, metadata, active_policy)
-        if not metadata.request_id:
+        if not metadata.request_id or metadata.request_id in self._served_ids:
+            # With two requests of one id in progress, a late answer of the
+            # backend server could be taken for the answer to the other one.
             raise RefusedError(Reason.BAD_REQUEST)
         remaining = route.timeout
         if metadata.seconds_left is not None:
--- a/mustardshunt/sidecar/_ports.py
+++ b/mustardshunt/sidecar/_ports.py
@@ -4,12 +4,16 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
-from aiohttp.http_parser import RawResponseMessage
-
 from mustardshunt.base import ErrorCode, MustardshuntError
 from mustardshunt.load_balancing import Member
 from mustardshunt.policy import Policy
-from mustardshunt.relay import Call, HttpRequest, HttpResponse, RawHeaders
+from mustardshunt.relay import (
+    AnswerHead,
+    Call,
+    HttpRequest,
+    HttpResponse,
+    RawHeaders,
+)
 
 
 class PlatformError(MustardshuntError):
@@ -90,9 +94,7 @@
         """Return the header lines that are added for the backend server."""
         ...
 
-    def matches_request(
-        self, message: RawResponseMessage, request_id: str
-    ) -> bool:
+    def matches_request(self, head: AnswerHead, request_id: str) -> bool:
         """Tell whether an answer carries the identifier of a request."""
         ...
 
--- a/mustardshunt/sidecar/_served_call.py
+++ b/mustardshunt/sidecar/_served_call.py
@@ -2,10 +2,8 @@
 
 from typing import Any, Final, Protocol
 
-from aiohttp.http_parser import RawResponseMessage
-
 from mustardshunt.base import Clock
-from mustardshunt.relay import BackendOutcome, Call
+from mustardshunt.relay import AnswerHead, BackendOutcome, Call
 from mustardshunt.sidecar._ports import HeaderCodec
 from mustardshunt.sidecar._status_publisher import ResultSink
 from mustardshunt.upstream import AdmissionRequest, BackendGate
@@ -80,10 +78,10 @@
             call.body,
         )
 
-    def matches(self, message: RawResponseMessage) -> bool:
+    def matches(self, head: AnswerHead) -> bool:
         """Tell whether an answer carries the identifier of this request."""
         return self._owner.header_codec.matches_request(
-            message, self.call.request_id
+            head, self.call.request_id
         )
 
     def finish(self, outcome: BackendOutcome) -> None:
--- a/mustardshunt/standin/tests/deployment.py
+++ b/mustardshunt/standin/tests/deployment.py
@@ -109,7 +109,7 @@
     settings: SidecarSettings
     log: RecordingLog
     task: asyncio.Task[None]
-    session: aiohttp.ClientSession
+    store: StoreClient
 
     @property
     def caller_address(self) -> VmAddress:
@@ -119,7 +119,7 @@
         """Cancel the sidecar without a planned stop."""
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
-        await self.session.close()
+        self.store.close()
 
 
 @dataclass
@@ -148,8 +148,7 @@
         return node
 
     async def start_node(self, settings: SidecarSettings) -> SidecarNode:
-        session = aiohttp.ClientSession()
-        store = StoreClient(session, self.store_address)
+        store = StoreClient(self.store_address)
         adapter = PlatformAdapter(
             PlatformHeaderCodec(),
             PlatformHeartbeatCodec(settings.node.service),
@@ -159,7 +158,7 @@
         log = RecordingLog()
         sidecar = Sidecar(settings, adapter, log)
         task = asyncio.create_task(sidecar.run())
-        node = SidecarNode(sidecar, settings, log, task, session)
+        node = SidecarNode(sidecar, settings, log, task, store)
         self.nodes.append(node)
         return node
 
