Keep links only to a subset of the members that are called

Cause: each node kept a link to each other node, pinged it, and got its status; the cost of a choice and of the dependency check grew with the members of a service. At 195 nodes this took 0.10 cores a node.

Links open with the first call and close 5 s after they have left the plan. The balancer chooses among the planned members only. The link of a restarted process is kept when its new entry arrives later.

--- a/mustardshunt/load_balancing/_balancer.py
+++ b/mustardshunt/load_balancing/_balancer.py
@@ -69,7 +69,8 @@
         self._data_centre = data_centre
         self._random = random
         self._load_by_name: dict[str, MemberLoad] = {}
-        self._names_by_service: dict[str, list[str]] = {}
+        self._candidates_by_service: dict[str, list[MemberLoad]] = {}
+        self._candidate_names: Collection[str] | None = None
         self._evacuated_data_centres: frozenset[str] = frozenset()
         self._typical_latency_by_route: dict[str, float] = {}
 
@@ -85,15 +86,27 @@
             starts without known load.
         """
         load_by_name: dict[str, MemberLoad] = {}
-        names_by_service: dict[str, list[str]] = {}
         for member in members:
             load = self._load_by_name.get(member.name)
             if load is None or load.member != member:
                 load = MemberLoad(member)
             load_by_name[member.name] = load
-            names_by_service.setdefault(member.service, []).append(member.name)
         self._load_by_name = load_by_name
-        self._names_by_service = names_by_service
+        self._update_candidates()
+
+    def set_candidates(self, names: Collection[str]) -> None:
+        """Restrict the choice to some members.
+
+        A choice reads the load of all candidates, so its cost does not grow
+        with the number of members.
+
+        Parameters
+        ----------
+        names : collection of str
+            Names of the members to which this node keeps links.
+        """
+        self._candidate_names = names
+        self._update_candidates()
 
     def set_evacuated(self, data_centres: frozenset[str]) -> None:
         """Set the data centres that are out of service.
@@ -243,9 +256,24 @@
         ratio = min(MAX_LATENCY_RATIO, latency / max(typical, 1e-4))
         load.latency_ratio += SMOOTHING_FACTOR * (ratio - load.latency_ratio)
 
+    def has_candidates(self, service: str) -> bool:
+        """Tell whether any member can take calls to a service."""
+        return any(True for _ in self._available(service))
+
+    def _update_candidates(self) -> None:
+        names = self._candidate_names
+        if names is None:
+            names = self._load_by_name
+        self._candidates_by_service = {}
+        for name in sorted(names):
+            load = self._load_by_name.get(name)
+            if load is None:
+                continue
+            service = load.member.service
+            self._candidates_by_service.setdefault(service, []).append(load)
+
     def _available(self, service: str) -> Iterable[MemberLoad]:
-        for name in self._names_by_service.get(service, ()):
-            load = self._load_by_name[name]
+        for load in self._candidates_by_service.get(service, ()):
             if not load.is_connected:
                 continue
             if load.status.phase is not ServerPhase.READY:
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -16,7 +16,7 @@
 from mustardshunt.policy import Policy, PolicyRegistry
 from mustardshunt.relay import BackendServerStatusUpdate, TokenGrantFrame
 from mustardshunt.sidecar._callee import Callee
-from mustardshunt.sidecar._peer_link import LinkPool
+from mustardshunt.sidecar._link_manager import LinkManager
 from mustardshunt.sidecar._ports import OperatorSource, OperatorUpdate
 from mustardshunt.sidecar._rate_limiter import RateLimiter
 from mustardshunt.sidecar._sync import OperatorSync
@@ -90,14 +90,14 @@
         self._document = b''
         self._revision = -1
         self._sync: OperatorSync | None = None
-        self._links: LinkPool | None = None
+        self._links: LinkManager | None = None
         self._rate_limiter: RateLimiter | None = None
         self._random = random.Random(own.incarnation)
 
     def connect(
         self,
         sync: OperatorSync,
-        links: LinkPool,
+        links: LinkManager,
         rate_limiter: RateLimiter,
     ) -> None:
         """Set the components that are created after this updater."""
@@ -141,14 +141,8 @@
         components.balancer.set_members(by_name.values())
         components.retries.set_node_count(len(by_name))
         components.caps.set_nodes(self._own.name, by_name)
-        others = {
-            name: member
-            for name, member in by_name.items()
-            if name != self._own.name and member.service
-        }
         if self._links is not None:
-            self._links.set_members(others)
-        components.callee.publish_status()
+            self._links.set_members(by_name)
         self._on_change()
         self._log.record(
             'members',
@@ -168,10 +162,14 @@
             update.own_cutoff,
         )
         self._components.balancer.update_status(name, status)
+        if self._links is not None:
+            self._links.set_usable(name, status.phase is ServerPhase.READY)
 
     def peer_lost(self, name: str) -> None:
         """Exclude a peer from load balancing until its link is open again."""
         self._components.balancer.mark_disconnected(name)
+        if self._links is not None:
+            self._links.set_usable(name, is_usable=False)
 
     def peer_revision(self, name: str, revision: int) -> None:
         """Request operator changes that a peer knows but this node does not."""
@@ -206,7 +204,7 @@
         link = (
             None
             if self._links is None
-            else self._links.find(token_request.node)
+            else self._links.open(token_request.node)
         )
         if link is not None:
             link.request_tokens(
@@ -245,6 +243,8 @@
     def _apply_evacuation(self, revision: int) -> None:
         evacuated = self._components.registry.evacuated
         self._components.balancer.set_evacuated(evacuated)
+        if self._links is not None:
+            self._links.set_evacuated(evacuated)
         self._components.callee.set_evacuated(
             self._own.data_centre in evacuated
         )
--- a/mustardshunt/sidecar/_ingress.py
+++ b/mustardshunt/sidecar/_ingress.py
@@ -77,6 +77,14 @@
         ...
 
 
+class ServiceLinks(Protocol):
+    """Opens links to the members of the services that are called."""
+
+    async def prepare(self, service: str, now: float) -> None:
+        """Record a call to a service; wait for its first link to open."""
+        ...
+
+
 class Ingress:
     """Serves the requests of callers on the VM of this node.
 
@@ -99,6 +107,8 @@
         Bounds the request rates of organisations.
     sender : Sender
         Sends calls to members.
+    links : ServiceLinks
+        Opens links to the members of a service.
     header_codec : HeaderCodec
         Reads and writes the HTTP headers of the platform.
     log : EventLog
@@ -118,6 +128,7 @@
         retry_throttle: RetryThrottle,
         rate_limiter: RateLimiter,
         sender: Sender,
+        links: ServiceLinks,
         header_codec: HeaderCodec,
         log: EventLog,
         metrics: SidecarMetrics,
@@ -130,6 +141,7 @@
         self._retry_throttle = retry_throttle
         self._rate_limiter = rate_limiter
         self._sender = sender
+        self._links = links
         self._header_codec = header_codec
         self._request_log = RequestLog(log, registry, clock)
         self._metrics = metrics
@@ -271,6 +283,7 @@
         context: RequestContext,
         progress: Progress,
     ) -> Answered:
+        await self._links.prepare(context.service, self._clock.now())
         while True:
             load = self._choose(context, progress)
             result = await self._send(context, load)
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -9,6 +9,7 @@
 
 from mustardshunt.caps import JOIN_SECONDS, CapBounds, CapShares
 from mustardshunt.load_balancing import (
+    LinkPlan,
     LoadBalancer,
     Member,
     RetryThrottle,
@@ -31,6 +32,7 @@
 )
 from mustardshunt.sidecar._ingress import Ingress
 from mustardshunt.sidecar._lifecycle import SidecarLifecycle
+from mustardshunt.sidecar._link_manager import LinkManager
 from mustardshunt.sidecar._metrics import SidecarMetrics
 from mustardshunt.sidecar._peer_link import LinkPool, PeerLink
 from mustardshunt.sidecar._peer_server import PeerServer, PeerServices
@@ -185,7 +187,12 @@
             self._clock,
             self._serve_when_ready,
         )
-        self._links = LinkPool(self._open_link)
+        self._links = LinkManager(
+            node.name,
+            LinkPlan(node.name, node.data_centre),
+            self._balancer,
+            LinkPool(self._open_link),
+        )
         self._operator_sync = OperatorSync(
             adapter.operators,
             self._updater.apply_operator_update,
@@ -211,6 +218,7 @@
             retry_throttle,
             rate_limiter,
             CallSender(node.name, local, self._links),
+            self._links,
             adapter.header_codec,
             log,
             self._metrics,
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Final, Protocol, TypeAlias
 
 from mustardshunt.base import Reason
@@ -45,6 +46,10 @@
 # sends the status of each call.
 CALL_STATUS_TIMEOUT_SECONDS: Final = 1.2
 
+# Time without use after which a link that is not planned is closed. Results of
+# calls and requested tokens arrive well within this time.
+UNPLANNED_LINK_SECONDS: Final = 5.0
+
 # Numbers all links of the process, so that a peer can tell which of two links
 # is the later one.
 _LINK_NUMBERS: Final = itertools.count(1)
@@ -60,7 +65,7 @@
         ...
 
     def peer_lost(self, name: str) -> None:
-        """Send no more calls to a peer whose link was lost."""
+        """Send no more calls to a peer without a working link."""
         ...
 
     def peer_revision(self, name: str, revision: int) -> None:
@@ -117,6 +122,7 @@
         self._connected_stream: FrameStream | None = None
         self._has_connected = False
         self._peer_incarnation = ''
+        self._last_update: BackendServerStatusUpdate | None = None
         self._future_by_number: dict[int, asyncio.Future[CallResult]] = {}
         self._reconnect_pause = FIRST_RECONNECT_PAUSE_SECONDS
         self._pinged_at = 0.0
@@ -127,6 +133,32 @@
         """Whether the peer has sent its status on the current connection."""
         return self._stream is not None
 
+    @property
+    def has_calls(self) -> bool:
+        """Whether calls wait for their results."""
+        return bool(self._future_by_number)
+
+    def adopt(self, member: Member) -> bool:
+        """Take over a changed entry of the member.
+
+        Returns
+        -------
+        bool
+            False if this link does not lead to the process that the entry
+            names. The link of a restarted process may be open before its entry
+            arrives; such a link is kept, with the calls on it.
+        """
+        if member == self.member:
+            return True
+        same_place = replace(self.member, incarnation=member.incarnation)
+        if member != same_place or self._last_update is None:
+            return False
+        if not self.is_open or member.incarnation != self._peer_incarnation:
+            return False
+        self.member = member
+        self._events.peer_status(member.name, self._last_update)
+        return True
+
     def call(self, call: Call) -> asyncio.Future[CallResult]:
         """Send a call and return a future for its result."""
         result: asyncio.Future[CallResult] = self._loop.create_future()
@@ -177,11 +209,11 @@
             # No process listens at the address, so the peer process to which
             # the waiting calls were sent has ended.
             self._fail_all('connection refused: peer process has ended')
-            self._increase_pause()
+            self._handle_failed_dial()
             return
         except (OSError, TimeoutError):
             self._fail_all('connection failed: node cannot be reached')
-            self._increase_pause()
+            self._handle_failed_dial()
             return
         link = next(_LINK_NUMBERS)
         stream.send(Hello(self._incarnation, link, not self._has_connected))
@@ -246,6 +278,7 @@
                 peer=self.member.name,
                 incarnation=update.incarnation,
             )
+        self._last_update = update
         self._events.peer_status(self.member.name, update)
         self._events.peer_revision(self.member.name, update.revision)
 
@@ -287,7 +320,7 @@
     def _handle_loss(self, stream: FrameStream) -> None:
         stream.abort()
         if self._stream is not stream:
-            self._increase_pause()
+            self._handle_failed_dial()
             return
         self._stream = None
         self._metrics.link_losses.inc()
@@ -322,6 +355,10 @@
             _set_result(future, AnswerLost(number, reason))
         self._future_by_number.clear()
 
+    def _handle_failed_dial(self) -> None:
+        self._events.peer_lost(self.member.name)
+        self._increase_pause()
+
     def _increase_pause(self) -> None:
         self._reconnect_pause = min(
             MAX_RECONNECT_PAUSE_SECONDS, self._reconnect_pause * 2
@@ -329,7 +366,7 @@
 
 
 class LinkPool:
-    """Links to all other members, by the name of the node.
+    """Links to other members, by the name of the node.
 
     Parameters
     ----------
@@ -339,44 +376,76 @@
 
     def __init__(self, open_link: Callable[[Member], PeerLink]) -> None:
         self._open_link = open_link
+        self._member_by_name: Mapping[str, Member] = {}
+        self._planned_names: frozenset[str] = frozenset()
         self._link_by_name: dict[str, PeerLink] = {}
         self._task_by_name: dict[str, asyncio.Task[None]] = {}
+        self._used_at_by_name: dict[str, float] = {}
 
     def find(self, name: str) -> PeerLink | None:
         """Return the link to a node, None if no link exists."""
         return self._link_by_name.get(name)
 
-    def open_members(self) -> list[Member]:
-        """Return the members whose links are open."""
-        return [
-            link.member for link in self._link_by_name.values() if link.is_open
-        ]
+    def open(self, name: str) -> PeerLink | None:
+        """Return the link to a node, None if the node is not known.
 
-    def set_members(self, members: dict[str, Member]) -> None:
-        """Open links to new members and close links to removed members."""
-        for name, link in list(self._link_by_name.items()):
-            if members.get(name) != link.member:
-                del self._link_by_name[name]
-                self._task_by_name.pop(name).cancel()
-        for name, member in members.items():
-            if name in self._link_by_name:
-                continue
+        A link that is not planned is closed when it has not been used for
+        ``UNPLANNED_LINK_SECONDS``.
+        """
+        member = self._member_by_name.get(name)
+        if member is None:
+            return None
+        self._used_at_by_name[name] = asyncio.get_running_loop().time()
+        if name not in self._link_by_name:
             link = self._open_link(member)
             self._link_by_name[name] = link
             self._task_by_name[name] = asyncio.create_task(
                 link.run(),
                 name=f'link to {name}',
             )
+        return self._link_by_name[name]
+
+    def open_members(self) -> list[Member]:
+        """Return the members whose links are open."""
+        return [
+            link.member for link in self._link_by_name.values() if link.is_open
+        ]
+
+    def set_members(self, by_name: Mapping[str, Member]) -> None:
+        """Set the members, and close links to changed or removed members."""
+        self._member_by_name = by_name
+        for name, link in list(self._link_by_name.items()):
+            member = by_name.get(name)
+            if member is None or not link.adopt(member):
+                self._close(name)
+
+    def set_planned(self, names: frozenset[str]) -> None:
+        """Open links to some members and keep them open."""
+        self._planned_names = names
+        for name in sorted(names - self._link_by_name.keys()):
+            self.open(name)
 
     def check(self, now: float) -> None:
-        """Check all links for silent peers; called every 0.1 s."""
-        for link in self._link_by_name.values():
+        """Check all links for silent peers; called every 0.1 s.
+
+        Closes unplanned links on which no call waits.
+        """
+        for name, link in list(self._link_by_name.items()):
             link.check(now)
+            if name in self._planned_names or link.has_calls:
+                self._used_at_by_name[name] = now
+            elif now - self._used_at_by_name[name] > UNPLANNED_LINK_SECONDS:
+                self._close(name)
 
     def close(self) -> None:
         """Close all links."""
         self.set_members({})
 
+    def _close(self, name: str) -> None:
+        del self._link_by_name[name]
+        self._used_at_by_name.pop(name, None)
+        self._task_by_name.pop(name).cancel()
+
 
 def _set_result(future: asyncio.Future[CallResult], result: CallResult) -> None:
     if not future.done():
--- a/mustardshunt/sidecar/_sender.py
+++ b/mustardshunt/sidecar/_sender.py
@@ -11,7 +11,8 @@
     NotRun,
 )
 from mustardshunt.sidecar._callee import Callee
-from mustardshunt.sidecar._peer_link import CallResult, LinkPool, PeerEvents
+from mustardshunt.sidecar._link_manager import LinkManager
+from mustardshunt.sidecar._peer_link import CallResult, PeerEvents
 from mustardshunt.upstream import AdmissionRequest
 
 
@@ -78,7 +79,7 @@
         Name of this node.
     local : LocalSession
         Session for calls to this node's backend server.
-    links : LinkPool
+    links : LinkManager
         Links to the other nodes.
     """
 
@@ -86,7 +87,7 @@
         self,
         name: str,
         local: LocalSession,
-        links: LinkPool,
+        links: LinkManager,
     ) -> None:
         self._name = name
         self._local = local
