Follow the store from one node of each data centre

Cause: every node followed both tables of the store, so a change cost two calls for each node, and changes grow with the nodes.

Change: FollowerRole lets one node of each data centre follow; it reports changes to the others over links, with the revision up to which its state is complete. A node that lacks a change which a peer knows requests it from the peer. Registration is one conditional write. Link silence counts from the first call after an idle time.

Found with it: a follower that had been frozen could report an entry that had been removed meanwhile; an update older than the known entries is ignored.

--- a/mustardshunt/membership/__init__.py
+++ b/mustardshunt/membership/__init__.py
@@ -15,6 +15,7 @@
     RecordsArrived,
     SendRecords,
 )
+from mustardshunt.membership._follower_role import FollowerRole
 from mustardshunt.membership._members import MembershipSnapshot
 from mustardshunt.membership._membership import Membership, make_membership
 from mustardshunt.membership._ring import record_order
@@ -23,6 +24,7 @@
 __all__ = [
     'AddressSearch',
     'CloseLink',
+    'FollowerRole',
     'MemberChanged',
     'Membership',
     'MembershipAction',
--- a/mustardshunt/platform/_sources.py
+++ b/mustardshunt/platform/_sources.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterable
+from collections.abc import Collection
 from operator import attrgetter
 
 from loguru import logger
@@ -93,9 +93,14 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
 
-    async def register(self, member: Member) -> None:
+    async def register(self, member: Member) -> bool:
         """Register a node: write the node's row.
 
+        Returns
+        -------
+        bool
+            Whether there was a row of an earlier process of the node.
+
         Raises
         ------
         PlatformError
@@ -108,11 +113,12 @@
             'host': member.address.host,
             'port': member.address.port,
         }
-        await self._store.put(
-            MEMBER_TABLE,
-            member.name,
-            json.dumps(entry, separators=(',', ':')).encode(),
-        )
+        content = json.dumps(entry, separators=(',', ':')).encode()
+        former = await self._store.put_new(MEMBER_TABLE, member.name, content)
+        if former is None or former == content:
+            return False
+        await self._store.put(MEMBER_TABLE, member.name, content)
+        return True
 
     async def remove(self, name: str) -> None:
         """Deregister a node: remove the node's row.
@@ -159,7 +165,7 @@
 
 
 def _decode_operator_update(
-    rows: Iterable[Row],
+    rows: Collection[Row],
     revision: int,
     is_snapshot: bool,
 ) -> OperatorUpdate:
@@ -181,11 +187,12 @@
         tuple(evacuated),
         tuple(restored),
         is_snapshot,
+        _newest_change(rows),
     )
 
 
 def _decode_member_update(
-    rows: Iterable[Row],
+    rows: Collection[Row],
     revision: int,
     is_snapshot: bool,
 ) -> MemberUpdate:
@@ -198,7 +205,17 @@
         member = _decode_member(row)
         if member is not None:
             changed.append(member)
-    return MemberUpdate(revision, tuple(changed), tuple(removed), is_snapshot)
+    return MemberUpdate(
+        revision,
+        tuple(changed),
+        tuple(removed),
+        is_snapshot,
+        _newest_change(rows),
+    )
+
+
+def _newest_change(rows: Collection[Row]) -> int:
+    return max((row.revision for row in rows), default=-1)
 
 
 def _decode_member(row: Row) -> Member | None:
--- a/mustardshunt/platform/_store.py
+++ b/mustardshunt/platform/_store.py
@@ -32,6 +32,7 @@
 _MS_PER_SECOND: Final = 1000
 _SUCCESS: Final = range(200, 300)
 _GONE: Final = 410
+_PRECONDITION_FAILED: Final = 412
 _ROWS_PER_PAGE: Final = 500
 
 
@@ -170,6 +171,34 @@
         )
         return _decode_rows(answer)
 
+    async def put_new(
+        self, table: str, key: str, content: bytes
+    ) -> bytes | None:
+        """Write a row that does not exist yet.
+
+        Returns
+        -------
+        bytes or None
+            Value of the row that exists already, so that nothing was written;
+            None if the row was written.
+
+        Raises
+        ------
+        PlatformError
+            The store cannot be reached or refuses the request. If no answer
+            arrived, the row may have been written.
+        """
+        absent = {'table': table, 'part': '', 'key': key, 'ver': 0}
+        row = _encode_row(table, key, content)
+        entries = {'precondition': [absent], 'writes': [row]}
+        status, answer = await self._transact(entries)
+        if status != _PRECONDITION_FAILED:
+            return None
+        for existing in _decode_rows({'ver': 0, **answer}).rows:
+            if existing.key == key:
+                return existing.content
+        return b''
+
     async def put(self, table: str, key: str, content: bytes) -> None:
         """Write a row, whatever the row's current revision is.
 
@@ -179,12 +208,7 @@
             The store cannot be reached or refuses the request. If no answer
             arrived, the row may have been written.
         """
-        row = {
-            'table': table,
-            'part': '',
-            'key': key,
-            'value': base64.b64encode(content).decode(),
-        }
+        row = _encode_row(table, key, content)
         await self._transact({'writes': [row]})
 
     async def remove(self, table: str, key: str) -> None:
@@ -199,9 +223,11 @@
         row = {'table': table, 'part': '', 'key': key}
         await self._transact({'remove': [row]})
 
-    async def _transact(self, entries: Mapping[str, Any]) -> None:
+    async def _transact(
+        self, entries: Mapping[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
         body = {'precondition': [], 'writes': [], 'remove': [], **entries}
-        await self._request(
+        return await self._request(
             'POST',
             '/rows-tx',
             REQUEST_TIMEOUT_SECONDS,
@@ -214,9 +240,10 @@
         query: Mapping[str, str],
         timeout_seconds: float,
     ) -> dict[str, Any]:
-        return await self._request(
+        _, answer = await self._request(
             'GET', f'{path}?{urlencode(query)}', timeout_seconds, b''
         )
+        return answer
 
     async def _request(
         self,
@@ -224,7 +251,7 @@
         target: str,
         timeout_seconds: float,
         body: bytes,
-    ) -> dict[str, Any]:
+    ) -> tuple[int, dict[str, Any]]:
         name = f'store request {method} {target.partition("?")[0]}'
         request = _StoreRequest(self._render(method, target, body))
         connection = self._pool.submit(request)
@@ -244,10 +271,11 @@
                 f'{name}: status 410, the changes since the revision are no '
                 'longer kept',
             )
-        if answer.status not in _SUCCESS:
+        is_decided = answer.status == _PRECONDITION_FAILED
+        if answer.status not in _SUCCESS and not is_decided:
             raise PlatformError(f'{name}: status {answer.status}')
         try:
-            return read_json_object(json.loads(answer.body))
+            return answer.status, read_json_object(json.loads(answer.body))
         except ValueError as error:
             raise PlatformError(f'{name}: malformed answer: {error}') from error
 
@@ -263,6 +291,15 @@
     """Do nothing: a refused connection already fails the request."""
 
 
+def _encode_row(table: str, key: str, content: bytes) -> dict[str, str]:
+    return {
+        'table': table,
+        'part': '',
+        'key': key,
+        'value': base64.b64encode(content).decode(),
+    }
+
+
 def _decode_rows(answer: dict[str, Any]) -> Rows:
     try:
         revision = read_integer(answer, 'ver', 0)
--- a/mustardshunt/policy/_registry.py
+++ b/mustardshunt/policy/_registry.py
@@ -1,5 +1,6 @@
 """The active policy of a node and the evacuated data centres."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from mustardshunt.policy._model import Policy
@@ -58,6 +59,11 @@
         """Names of the data centres that are out of service."""
         return frozenset(self._evacuated_since)
 
+    @property
+    def evacuated_since(self) -> Mapping[str, int]:
+        """Revision of the evacuation of each data centre out of service."""
+        return self._evacuated_since
+
     def accept(self, policy: Policy) -> bool:
         """Make a policy the active policy if its version is higher.
 
--- a/mustardshunt/relay/_frame_types.py
+++ b/mustardshunt/relay/_frame_types.py
@@ -229,11 +229,17 @@
 
     Parameters
     ----------
-    revision : int
+    operator_change : int
         Revision of the newest operator change that the sender knows.
+    member_change : int
+        Revision of the newest changed entry of a node that the sender knows.
+    is_follower : bool
+        Whether the sender follows the platform's changes for the receiver.
     """
 
-    revision: int
+    operator_change: int
+    member_change: int
+    is_follower: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,38 +248,77 @@
 
     Parameters
     ----------
-    revision : int
+    operator_change : int
         Revision of the newest operator change that the sender knows.
+    member_change : int
+        Revision of the newest changed entry of a node that the sender knows.
     """
 
-    revision: int
+    operator_change: int
+    member_change: int
 
 
 @dataclass(frozen=True, slots=True)
-class PolicyRequest:
-    """Requests the active policy of the receiver.
+class StateRequest:
+    """Requests what the receiver knows of the deployment and the sender lacks.
 
     Parameters
     ----------
-    newer_than : int
-        Policy version that the sender has. The receiver sends back only a newer
-        policy.
+    operator_change : int
+        Revision of the newest operator change that the sender knows.
+    member_change : int
+        Revision of the newest changed entry of a node that the sender knows,
+        -1 to request all entries.
     """
 
-    newer_than: int
+    operator_change: int
+    member_change: int
 
 
 @dataclass(frozen=True, slots=True)
-class PolicyDocument:
-    """Active policy of the sender.
+class OperatorState:
+    """Active policy and evacuated data centres that the sender knows.
 
     Parameters
     ----------
+    revision : int
+        Revision of the platform up to which the state is complete.
+    newest_change : int
+        Revision of the newest operator change in the state.
     document : bytes
         Text of the policy as operators wrote it.
+    evacuated : bytes
+        CBOR array of the evacuated data centres, each an array of its name and
+        the revision of its evacuation.
     """
 
+    revision: int
+    newest_change: int
     document: bytes
+    evacuated: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class MemberState:
+    """Entries of nodes that the sender knows.
+
+    Parameters
+    ----------
+    base : int
+        Revision of the platform that the receiver must know for this change to
+        be complete, -1 for a state that holds all entries.
+    revision : int
+        Revision of the platform up to which the state is complete.
+    newest_change : int
+        Revision of the newest changed entry.
+    entries : bytes
+        CBOR array of the changed entries and of the names of removed nodes.
+    """
+
+    base: int
+    revision: int
+    newest_change: int
+    entries: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,8 +364,9 @@
     | CallStatusRequest
     | Ping
     | Pong
-    | PolicyRequest
-    | PolicyDocument
+    | StateRequest
+    | OperatorState
+    | MemberState
     | TokenRequestFrame
     | TokenGrantFrame
 )
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -14,12 +14,16 @@
 )
 from mustardshunt.observability import EventLog
 from mustardshunt.policy import Policy, PolicyRegistry
-from mustardshunt.relay import BackendServerStatusUpdate, TokenGrantFrame
+from mustardshunt.relay import (
+    BackendServerStatusUpdate,
+    OperatorState,
+    TokenGrantFrame,
+)
 from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._deployment_codec import encode_evacuated
 from mustardshunt.sidecar._link_manager import LinkManager
-from mustardshunt.sidecar._ports import OperatorSource, OperatorUpdate
+from mustardshunt.sidecar._ports import OperatorUpdate
 from mustardshunt.sidecar._rate_limiter import RateLimiter
-from mustardshunt.sidecar._sync import OperatorSync
 from mustardshunt.upstream import BackendServerStatus, ServerPhase
 
 
@@ -54,7 +58,7 @@
 class DeploymentUpdater:
     """Applies updates from operators, the member directory and peers.
 
-    Also sends token requests and policy requests to peers.
+    Also sends token requests to peers.
 
     Parameters
     ----------
@@ -62,8 +66,6 @@
         Directory entry of this node.
     components : UpdatedComponents
         Components to which updates are applied.
-    source : OperatorSource
-        Parses the policies that peers send.
     log : EventLog
         Log of applied changes.
     clock : Clock
@@ -76,42 +78,40 @@
         self,
         own: Member,
         components: UpdatedComponents,
-        source: OperatorSource,
         log: EventLog,
         clock: Clock,
         on_change: Callable[[], None],
     ) -> None:
         self._own = own
         self._components = components
-        self._source = source
         self._log = log
         self._clock = clock
         self._on_change = on_change
         self._document = b''
         self._revision = -1
-        self._sync: OperatorSync | None = None
+        self._newest_change = -1
         self._links: LinkManager | None = None
         self._rate_limiter: RateLimiter | None = None
         self._random = random.Random(own.incarnation)
 
     def connect(
         self,
-        sync: OperatorSync,
         links: LinkManager,
         rate_limiter: RateLimiter,
     ) -> None:
         """Set the components that are created after this updater."""
-        self._sync = sync
         self._links = links
         self._rate_limiter = rate_limiter
 
-    def revision(self) -> int:
-        """Return the revision of the newest operator change, -1 if none."""
-        return self._revision
-
-    def policy_document(self) -> tuple[int, bytes]:
-        """Return the version and the text of the active policy."""
-        return self._components.registry.version, self._document
+    def operator_state(self) -> OperatorState:
+        """Return the policy and the evacuations for a peer."""
+        registry = self._components.registry
+        return OperatorState(
+            self._revision,
+            self._newest_change,
+            self._document,
+            encode_evacuated(registry.evacuated_since.items()),
+        )
 
     def apply_operator_update(self, update: OperatorUpdate) -> None:
         """Apply a policy and evacuations that operators have declared."""
@@ -131,9 +131,13 @@
                 registry.restore(data_centre, update.revision)
         if registry.evacuated != before:
             self._apply_evacuation(update.revision)
-        if update.revision > self._revision:
-            self._revision = update.revision
-            self._components.callee.status_publisher.revision = update.revision
+        self._revision = max(self._revision, update.revision)
+        if update.newest_change > self._newest_change:
+            self._newest_change = update.newest_change
+            callee = self._components.callee
+            callee.status_publisher.revision = update.newest_change
+            # The nodes that call this one learn of the change at once.
+            callee.publish_status()
 
     def apply_members(self, by_name: dict[str, Member]) -> None:
         """Replace the members that this node knows by the members given."""
@@ -171,15 +175,6 @@
         if self._links is not None:
             self._links.set_usable(name, is_usable=False)
 
-    def peer_revision(self, name: str, revision: int) -> None:
-        """Request operator changes that a peer knows but this node does not."""
-        if revision <= self._revision or self._sync is None:
-            return
-        self._sync.request_refresh(revision)
-        link = None if self._links is None else self._links.find(name)
-        if link is not None:
-            link.request_policy(self._components.registry.version)
-
     def peer_tokens(self, name: str, grant: TokenGrantFrame) -> None:
         """Add the tokens, possibly none, that a peer has granted."""
         if self._rate_limiter is not None:
@@ -211,12 +206,6 @@
                 token_request.organisation, token_request.wanted
             )
 
-    def peer_policy(self, document: bytes) -> None:
-        """Apply a policy from a peer if it is newer than the active policy."""
-        policy = self._source.parse(document)
-        if policy is not None:
-            self._activate_policy(policy, document)
-
     def _activate_policy(self, policy: Policy, document: bytes) -> None:
         components = self._components
         if not components.registry.accept(policy):
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -16,6 +16,7 @@
     RetryThrottleSettings,
     WeightedRoundRobin,
 )
+from mustardshunt.membership import FollowerRole
 from mustardshunt.observability import EventLog, make_event_log
 from mustardshunt.policy import PolicyRegistry, RequestLimits
 from mustardshunt.relay import BackendConnectionPool, HttpServer
@@ -26,6 +27,7 @@
     MetricsHandler,
     ReadyHandler,
 )
+from mustardshunt.sidecar._deployment_relay import DeploymentRelay
 from mustardshunt.sidecar._deployment_updater import (
     DeploymentUpdater,
     UpdatedComponents,
@@ -49,6 +51,7 @@
     SidecarSettingsError,
 )
 from mustardshunt.sidecar._sync import (
+    FollowGate,
     MemberSync,
     OperatorSync,
     PlatformAvailability,
@@ -182,33 +185,48 @@
                 caps,
                 self._callee,
             ),
-            adapter.operators,
             log,
             self._clock,
             self._serve_when_ready,
         )
+        gate = FollowGate()
         self._links = LinkManager(
             node.name,
             LinkPlan(node.name, node.data_centre),
             self._balancer,
             LinkPool(self._open_link),
         )
+        self._relay = DeploymentRelay(
+            self._own,
+            FollowerRole(node.name, random_source, self._clock.now()),
+            gate,
+            adapter.operators,
+            self._updater,
+            self._links,
+            log,
+            self._clock,
+        )
         self._operator_sync = OperatorSync(
             adapter.operators,
             self._updater.apply_operator_update,
             random_source,
             PlatformAvailability('operators', log, self._metrics),
+            gate,
+            self._relay.report_operators,
         )
         self._member_sync = MemberSync(
             adapter.directory,
             self._own,
-            self._updater.apply_members,
+            self._apply_members,
             random_source,
             caps.allow_spending,
             PlatformAvailability('members', log, self._metrics),
+            gate,
+            self._relay.report_members,
         )
+        self._relay.connect(self._operator_sync, self._member_sync)
         rate_limiter = RateLimiter(caps, self._updater, self._clock)
-        self._updater.connect(self._operator_sync, self._links, rate_limiter)
+        self._updater.connect(self._links, rate_limiter)
         local = LocalSession(node.name, self._callee, self._updater)
         self._ingress = Ingress(
             node.service,
@@ -238,8 +256,7 @@
         self._peers = PeerServer(
             self._callee,
             PeerServices(
-                self._updater.revision,
-                self._updater.policy_document,
+                self._relay,
                 rate_limiter.grant,
             ),
             log,
@@ -260,7 +277,7 @@
             first_start=self._settings.node.first_start,
         )
         await self._listen()
-        self._updater.apply_members({self._own.name: self._own})
+        self._apply_members({self._own.name: self._own})
         self._callee.status_publisher.subscribe(
             self._local, self._callee.status()
         )
@@ -320,6 +337,7 @@
             now = self._clock.now()
             if now - checked_at >= CHECK_INTERVAL_SECONDS:
                 checked_at = now
+                self._relay.check(now)
                 self._links.check(now)
                 self._peers.check(now)
                 self._callee.adjust_cutoff(now)
@@ -417,10 +435,15 @@
             member,
             self._own.incarnation,
             self._updater,
+            self._relay,
             self._log,
             self._metrics,
         )
 
+    def _apply_members(self, by_name: dict[str, Member]) -> None:
+        self._updater.apply_members(by_name)
+        self._relay.set_members(by_name)
+
     def _mark_server_lost(self) -> None:
         self._callee.mark_server_lost()
 
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -20,11 +20,12 @@
     FrameError,
     FrameStream,
     Hello,
+    MemberState,
     NotRun,
+    OperatorState,
     Ping,
-    PolicyDocument,
-    PolicyRequest,
     Pong,
+    StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
     dial,
@@ -68,20 +69,38 @@
         """Send no more calls to a peer without a working link."""
         ...
 
-    def peer_revision(self, name: str, revision: int) -> None:
-        """Request operator changes if a peer knows a newer revision."""
-        ...
-
     def peer_tokens(self, name: str, grant: TokenGrantFrame) -> None:
         """Add the tokens, possibly none, that a peer has granted."""
         ...
 
-    def peer_policy(self, document: bytes) -> None:
-        """Apply the policy of a peer if it is newer than the active policy."""
+
+class DeploymentPeers(Protocol):
+    """Exchanges the state of the deployment with peers."""
+
+    def ping(self, name: str) -> Ping:
+        """Return the ping for a node."""
+        ...
+
+    def greet(self, link: 'PeerLink', operator_change: int) -> None:
+        """Send the state to a listener whose link has just opened."""
         ...
 
-    def revision(self) -> int:
-        """Return the newest revision of operator changes known to this node."""
+    def hear_changes(
+        self, link: 'PeerLink', operator_change: int, member_change: int
+    ) -> None:
+        """Request the state of a peer that knows newer changes."""
+        ...
+
+    def answer(self, request: StateRequest, peer: 'PeerLink') -> None:
+        """Send a listener the state that it lacks."""
+        ...
+
+    def receive_operators(self, frame: OperatorState) -> None:
+        """Apply the operator state of a peer."""
+        ...
+
+    def receive_members(self, frame: MemberState) -> StateRequest | None:
+        """Apply the entries of a peer; return what is missing, if anything."""
         ...
 
 
@@ -99,6 +118,8 @@
         Identifier of this process of the node.
     events : PeerEvents
         Receives events and messages of the peer.
+    deployment : DeploymentPeers
+        Exchanges the state of the deployment with the peer.
     log : EventLog
         Log of links that open, are lost, are silent or get invalid frames.
     metrics : SidecarMetrics
@@ -110,12 +131,14 @@
         member: Member,
         incarnation: str,
         events: PeerEvents,
+        deployment: DeploymentPeers,
         log: EventLog,
         metrics: SidecarMetrics,
     ) -> None:
         self.member = member
         self._incarnation = incarnation
         self._events = events
+        self._deployment = deployment
         self._log = log
         self._metrics = metrics
         self._stream: FrameStream | None = None
@@ -126,6 +149,7 @@
         self._future_by_number: dict[int, asyncio.Future[CallResult]] = {}
         self._reconnect_pause = FIRST_RECONNECT_PAUSE_SECONDS
         self._pinged_at = 0.0
+        self._busy_since = 0.0
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -168,6 +192,8 @@
                 NotRun(call.number, Reason.LINK_LOST.value, -1, 0)
             )
             return result
+        if not self._future_by_number:
+            self._busy_since = self._loop.time()
         self._future_by_number[call.number] = result
         stream.send(call)
         return result
@@ -185,10 +211,10 @@
         if self._stream is not None:
             self._stream.send(TokenRequestFrame(organisation, wanted))
 
-    def request_policy(self, newer_than: int) -> None:
-        """Request the peer's policy if it is newer than a given version."""
+    def send(self, frame: Frame) -> None:
+        """Send a frame that has no reply of its own, if the link is open."""
         if self._stream is not None:
-            self._stream.send(PolicyRequest(newer_than))
+            self._stream.send(frame)
 
     async def run(self) -> None:
         """Keep a connection to the peer until cancelled.
@@ -249,13 +275,24 @@
             self._handle_status(frame, stream)
             return
         if isinstance(frame, Pong):
-            self._events.peer_revision(self.member.name, frame.revision)
+            self._deployment.hear_changes(
+                self, frame.operator_change, frame.member_change
+            )
             return
         if isinstance(frame, TokenGrantFrame):
             self._events.peer_tokens(self.member.name, frame)
             return
-        if isinstance(frame, PolicyDocument):
-            self._events.peer_policy(frame.document)
+        self._handle_state(frame)
+
+    def _handle_state(self, frame: Frame) -> None:
+        if isinstance(frame, OperatorState):
+            self._deployment.receive_operators(frame)
+        elif isinstance(frame, StateRequest):
+            self._deployment.answer(frame, self)
+        elif isinstance(frame, MemberState):
+            missing = self._deployment.receive_members(frame)
+            if missing is not None:
+                self.send(missing)
 
     def _handle_status(
         self, update: BackendServerStatusUpdate, stream: FrameStream
@@ -278,9 +315,10 @@
                 peer=self.member.name,
                 incarnation=update.incarnation,
             )
+            self._deployment.greet(self, update.revision)
         self._last_update = update
         self._events.peer_status(self.member.name, update)
-        self._events.peer_revision(self.member.name, update.revision)
+        self._deployment.hear_changes(self, update.revision, -1)
 
     def check(self, now: float) -> None:
         """Ping a silent peer; close the link if the peer stays silent.
@@ -295,9 +333,12 @@
             return
         silent_for = now - stream.last_received_at
         has_calls = bool(self._future_by_number)
-        max_silence = (
-            BUSY_MAX_SILENCE_SECONDS if has_calls else IDLE_MAX_SILENCE_SECONDS
-        )
+        max_silence = IDLE_MAX_SILENCE_SECONDS
+        if has_calls:
+            # The peer of an idle link has no reason to send. Its silence counts
+            # from the call on that ended the idle time.
+            silent_for = min(silent_for, now - self._busy_since)
+            max_silence = BUSY_MAX_SILENCE_SECONDS
         if silent_for > max_silence:
             self._log.record(
                 'link-silent',
@@ -315,7 +356,7 @@
         )
         if silent_for > ping_interval and now - self._pinged_at > ping_interval:
             self._pinged_at = now
-            stream.send(Ping(self._events.revision()))
+            stream.send(self._deployment.ping(self.member.name))
 
     def _handle_loss(self, stream: FrameStream) -> None:
         stream.abort()
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, TypeAlias
+from typing import Final, Protocol, TypeAlias
 
 from mustardshunt.base import Reason, VmAddress
 from mustardshunt.observability import EventLog
@@ -19,11 +19,12 @@
     FrameError,
     FrameStream,
     Hello,
+    MemberState,
     NotRun,
+    OperatorState,
     Ping,
-    PolicyDocument,
-    PolicyRequest,
     Pong,
+    StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
     listen,
@@ -47,24 +48,49 @@
 CallResult: TypeAlias = Answered | NotRun | AnswerLost
 
 
+class DeploymentServices(Protocol):
+    """Exchanges the state of the deployment with nodes that open links."""
+
+    def changes(self) -> tuple[int, int]:
+        """Return the newest known changes of operators and of members."""
+        ...
+
+    def hear_ping(self, name: str, ping: Ping) -> StateRequest | None:
+        """Record whether a peer follows; return what is missing here."""
+        ...
+
+    def lose_peer(self, name: str) -> None:
+        """Record that the link of a peer was lost."""
+        ...
+
+    def answer(self, request: StateRequest, peer: FrameStream) -> None:
+        """Send a peer the state that it lacks."""
+        ...
+
+    def receive_operators(self, frame: OperatorState) -> None:
+        """Apply the operator state of a peer."""
+        ...
+
+    def receive_members(self, frame: MemberState) -> StateRequest | None:
+        """Apply the entries of a peer; return what is missing, if anything."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class PeerServices:
     """Functions that serve requests of other nodes, except calls.
 
     Parameters
     ----------
-    revision : callable
-        Returns the newest revision of operator changes known to this node.
-    policy_document : callable
-        Returns the version and the text of the active policy.
+    relay : DeploymentServices
+        Exchanges the state of the deployment with other nodes.
     grant_tokens : callable
         Takes the name of an organisation and the number of tokens wanted.
         Removes at most this number of tokens from this node's share and
         returns how many were removed.
     """
 
-    revision: Callable[[], int]
-    policy_document: Callable[[], tuple[int, bytes]]
+    relay: DeploymentServices
     grant_tokens: Callable[[str, int], int]
 
 
@@ -104,6 +130,11 @@
         self._highest_number = 0
         self._barred_numbers: set[int] = set()
 
+    @property
+    def name(self) -> str:
+        """Name of the sending node."""
+        return self.incarnation.rpartition('-')[0]
+
     def deliver(self, number: int, frame: CallResult) -> None:
         """Store the result of a call, and send it if a link is open."""
         self._ticket_by_number.pop(number, None)
@@ -249,6 +280,7 @@
         finally:
             if session is not None and session.stream is stream:
                 session.stream = None
+                self._services.relay.lose_peer(session.name)
                 self._callee.status_publisher.unsubscribe(session)
                 loop = asyncio.get_running_loop()
                 loop.call_later(
@@ -297,27 +329,36 @@
             case Cancel():
                 session.cancel(frame.number)
             case Ping():
-                stream.send(Pong(self._services.revision()))
+                missing = self._services.relay.hear_ping(session.name, frame)
+                if missing is not None:
+                    stream.send(missing)
+                stream.send(Pong(*self._services.relay.changes()))
             case CallStatusRequest():
                 session.report_call_statuses(frame.numbers)
-            case TokenRequestFrame() | PolicyRequest():
-                self._serve_request(frame, stream)
+            case TokenRequestFrame():
+                amount = self._services.grant_tokens(
+                    frame.organisation,
+                    frame.wanted,
+                )
+                stream.send(TokenGrantFrame(frame.organisation, amount))
+            case StateRequest() | OperatorState() | MemberState():
+                self._handle_state(frame, stream)
 
-    def _serve_request(
+    def _handle_state(
         self,
-        frame: TokenRequestFrame | PolicyRequest,
+        frame: StateRequest | OperatorState | MemberState,
         stream: FrameStream,
     ) -> None:
-        if isinstance(frame, TokenRequestFrame):
-            amount = self._services.grant_tokens(
-                frame.organisation,
-                frame.wanted,
-            )
-            stream.send(TokenGrantFrame(frame.organisation, amount))
-            return
-        version, document = self._services.policy_document()
-        if version > frame.newer_than:
-            stream.send(PolicyDocument(document))
+        relay = self._services.relay
+        match frame:
+            case StateRequest():
+                relay.answer(frame, stream)
+            case OperatorState():
+                relay.receive_operators(frame)
+            case MemberState():
+                missing = relay.receive_members(frame)
+                if missing is not None:
+                    stream.send(missing)
 
     def _expire_session(self, session: PeerSession, link: int) -> None:
         # If a later link of the session has been opened and lost meanwhile, the
--- a/mustardshunt/sidecar/_ports.py
+++ b/mustardshunt/sidecar/_ports.py
@@ -124,6 +124,8 @@
     is_snapshot : bool
         Whether the update names all evacuated data centres, so that every
         other data centre is in service.
+    newest_change : int
+        Revision of the newest change in the update, -1 if there is none.
     """
 
     revision: int
@@ -132,6 +134,7 @@
     evacuated: tuple[tuple[str, int], ...]
     restored: tuple[tuple[str, int], ...]
     is_snapshot: bool
+    newest_change: int
 
 
 class OperatorSource(Protocol):
@@ -181,20 +184,28 @@
     is_snapshot : bool
         Whether ``changed`` contains all registered nodes, so that no other
         node is registered.
+    newest_change : int
+        Revision of the newest change in the update, -1 if there is none.
     """
 
     revision: int
     changed: tuple[Member, ...]
     removed: tuple[str, ...]
     is_snapshot: bool
+    newest_change: int
 
 
 class MemberDirectory(Protocol):
     """Directory in which nodes register to find each other."""
 
-    async def register(self, member: Member) -> None:
+    async def register(self, member: Member) -> bool:
         """Write the entry of a node.
 
+        Returns
+        -------
+        bool
+            Whether there was an entry of an earlier process of the node.
+
         Raises
         ------
         PlatformError
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -1,8 +1,8 @@
 """Background tasks that read changes of the deployment from the platform."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeVar
 
 from mustardshunt.base import RandomSource
 from mustardshunt.load_balancing import Member
@@ -29,9 +29,12 @@
 # platform's store again within two seconds after the store has recovered.
 FIRST_PAUSE_SECONDS: Final = 0.2
 MAX_PAUSE_SECONDS: Final = 1.4
-# Delay before a requested snapshot is read. If the feed delivers the change
-# within this time, the snapshot is not needed.
-REFRESH_DELAY_SECONDS: Final = 0.15
+# Delay before a requested snapshot is read. If the feed or a peer delivers the
+# change within this time, the snapshot is not needed.
+REFRESH_DELAY_SECONDS: Final = 0.4
+
+
+UpdateT = TypeVar('UpdateT')
 
 
 class _Backoff:
@@ -49,6 +52,52 @@
         self._seconds = min(MAX_PAUSE_SECONDS, self._seconds * 2)
 
 
+class FollowGate:
+    """Lets this node read the platform's changes while it is a follower."""
+
+    def __init__(self) -> None:
+        self._opened = asyncio.Event()
+        self._scopes: set[asyncio.Timeout] = set()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether this node follows the platform's changes."""
+        return self._opened.is_set()
+
+    def open(self) -> None:
+        """Start to follow the platform's changes."""
+        self._opened.set()
+
+    def close(self) -> None:
+        """Stop to follow; requests that wait for changes are interrupted."""
+        self._opened.clear()
+        self.interrupt()
+
+    def interrupt(self) -> None:
+        """End the open requests for changes, since their answers are late."""
+        for scope in self._scopes:
+            scope.reschedule(asyncio.get_running_loop().time())
+
+    async def wait(self) -> None:
+        """Wait until this node follows the platform's changes."""
+        await self._opened.wait()
+
+    async def run(self, request: Awaitable[UpdateT]) -> UpdateT:
+        """Return the answer to a request for changes.
+
+        Raises
+        ------
+        TimeoutError
+            The request was interrupted.
+        """
+        async with asyncio.timeout(None) as scope:
+            self._scopes.add(scope)
+            try:
+                return await request
+            finally:
+                self._scopes.discard(scope)
+
+
 class PlatformAvailability:
     """Tracks whether the platform answers; logs losses and recoveries.
 
@@ -113,6 +162,10 @@
         Source of the jitter in pauses.
     availability : PlatformAvailability
         Records answered and failed requests.
+    gate : FollowGate
+        Open while this node reads the platform's changes itself.
+    on_report : callable
+        Called with each update that the platform has sent.
     """
 
     def __init__(
@@ -121,36 +174,50 @@
         on_update: Callable[[OperatorUpdate], None],
         random: RandomSource,
         availability: PlatformAvailability,
+        gate: FollowGate,
+        on_report: Callable[[OperatorUpdate], None],
     ) -> None:
+        self._on_report = on_report
         self._source = source
         self._on_update = on_update
         self._backoff = _Backoff(random)
         self._availability = availability
+        self._gate = gate
         self._refresh_requested = asyncio.Event()
-        self._requested_revision = -1
-        self._received_revision = -1
+        self._requested_change = -1
+        self.newest_change = -1
         self.revision = -1
+        self.has_failed = False
 
-    def request_refresh(self, revision: int) -> None:
-        """Request a snapshot, unless the feed soon delivers the revision.
+    def request_refresh(self, change: int) -> None:
+        """Request a snapshot, unless a peer soon delivers the change.
 
         Parameters
         ----------
-        revision : int
-            Revision that a peer knows.
+        change : int
+            Revision of a change that a peer knows.
         """
-        self._requested_revision = max(self._requested_revision, revision)
+        self._requested_change = max(self._requested_change, change)
         self._refresh_requested.set()
 
+    def receive(self, update: OperatorUpdate) -> None:
+        """Apply an update that a peer has sent."""
+        self.newest_change = max(self.newest_change, update.newest_change)
+        self._on_update(update)
+
     async def run(self) -> None:
-        """Read the changes of policies and evacuations until cancelled."""
+        """Read the changes while this node follows, until cancelled."""
         while True:
+            await self._gate.wait()
             try:
-                await self._follow()
+                await self._gate.run(self._follow())
+            except TimeoutError:
+                self.revision = -1
             except HistoryLostError as error:
                 self.revision = -1
                 self._availability.record_failure(error)
             except PlatformError as error:
+                self.has_failed = True
                 self._availability.record_failure(error)
                 await self._backoff.wait()
 
@@ -160,8 +227,11 @@
             await self._refresh_requested.wait()
             await asyncio.sleep(REFRESH_DELAY_SECONDS)
             self._refresh_requested.clear()
-            if self._received_revision >= self._requested_revision:
+            if self.newest_change >= self._requested_change:
                 continue
+            # A peer knows a change that the feed has not delivered, so the
+            # connection of the feed may be silent.
+            self._gate.interrupt()
             try:
                 self._apply(await self._source.read())
             except PlatformError as error:
@@ -174,15 +244,17 @@
             # The next changes are read from the revision of this snapshot on,
             # even if the snapshot is older than an update received before.
             self.revision = update.revision
+            self._on_report(update)
         self._backoff.reset()
         update = await self._source.changes(self.revision, CHANGES_WAIT_SECONDS)
         self._apply(update)
+        self._on_report(update)
         self.revision = max(self.revision, update.revision)
 
     def _apply(self, update: OperatorUpdate) -> None:
+        self.has_failed = False
         self._availability.record_success()
-        self._received_revision = max(self._received_revision, update.revision)
-        self._on_update(update)
+        self.receive(update)
 
 
 class MemberSync:
@@ -203,6 +275,11 @@
         of this node has written.
     availability : PlatformAvailability
         Records answered and failed requests.
+    gate : FollowGate
+        Open while this node reads the platform's changes itself.
+    on_report : callable
+        Called with each update that the platform has sent, and with the
+        revision that was complete before it.
     """
 
     def __init__(
@@ -213,7 +290,11 @@
         random: RandomSource,
         on_stale_entry: Callable[[], None],
         availability: PlatformAvailability,
+        gate: FollowGate,
+        on_report: Callable[[MemberUpdate, int], None],
     ) -> None:
+        self._gate = gate
+        self._on_report = on_report
         self._on_stale_entry = on_stale_entry
         self._directory = directory
         self._own = own
@@ -221,23 +302,53 @@
         self._backoff = _Backoff(random)
         self._register_backoff = _Backoff(random)
         self._availability = availability
-        self._revision = -1
+        self._feed_revision = -1
+        self._reported_revision = -1
+        self.revision = -1
+        self.newest_change = -1
         self._registration_needed = asyncio.Event()
         self.by_name: dict[str, Member] = {}
         self._registration_needed.set()
 
     @property
     def has_read(self) -> bool:
-        """Whether the entries of the directory have been read."""
-        return self._revision >= 0
+        """Whether the entries of the directory are known."""
+        return self.revision >= 0
+
+    def receive(
+        self, update: MemberUpdate, is_from_platform: bool = False
+    ) -> None:
+        """Apply an update of the platform, or one that a peer has sent.
+
+        An update that is older than the known entries changes nothing. A
+        follower that was frozen may report a node that has left since.
+
+        Parameters
+        ----------
+        update : MemberUpdate
+            Changed entries, or all entries.
+        is_from_platform : bool, default=False
+            Whether the platform has sent the update. A snapshot of a peer may
+            be older than the entry of this node.
+        """
+        is_first = not self.has_read
+        self.newest_change = max(self.newest_change, update.newest_change)
+        if update.revision < self.revision:
+            return
+        self.revision = max(self.revision, update.revision)
+        if self._merge(update, is_from_platform) or is_first:
+            self._on_change(self.by_name)
 
     async def run(self) -> None:
-        """Read the changed entries of all nodes until cancelled."""
+        """Read the changed entries while this node follows, until cancelled."""
         while True:
+            await self._gate.wait()
             try:
-                await self._follow()
+                await self._gate.run(self._follow())
+            except TimeoutError:
+                self._feed_revision = -1
             except HistoryLostError as error:
-                self._revision = -1
+                self._feed_revision = -1
                 self._availability.record_failure(error)
             except PlatformError as error:
                 self._availability.record_failure(error)
@@ -248,13 +359,15 @@
         while True:
             await self._registration_needed.wait()
             try:
-                await self._directory.register(self._own)
+                is_replaced = await self._directory.register(self._own)
             except PlatformError as error:
                 self._availability.record_failure(error)
                 await self._register_backoff.wait()
                 continue
             self._register_backoff.reset()
             self._registration_needed.clear()
+            if is_replaced:
+                self._on_stale_entry()
 
     async def leave(self) -> None:
         """Remove the entry of this node; a failure is logged, not raised."""
@@ -264,21 +377,23 @@
             self._availability.record_failure(error)
 
     async def _follow(self) -> None:
-        is_first = not self.has_read
-        if is_first:
+        if self._feed_revision < 0:
             update = await self._directory.read()
         else:
             update = await self._directory.changes(
-                self._revision, CHANGES_WAIT_SECONDS
+                self._feed_revision, CHANGES_WAIT_SECONDS
             )
         self._backoff.reset()
         self._availability.record_success()
-        self._revision = max(self._revision, update.revision)
-        if self._merge(update) or is_first:
-            self._on_change(self.by_name)
-            await asyncio.sleep(MEMBER_BATCH_SECONDS)
+        self._feed_revision = max(self._feed_revision, update.revision)
+        self.receive(update, is_from_platform=True)
+        if not update.is_snapshot and not update.changed + update.removed:
+            return
+        self._on_report(update, self._reported_revision)
+        self._reported_revision = update.revision
+        await asyncio.sleep(MEMBER_BATCH_SECONDS)
 
-    def _merge(self, update: MemberUpdate) -> bool:
+    def _merge(self, update: MemberUpdate, is_from_platform: bool) -> bool:
         by_name = {} if update.is_snapshot else dict(self.by_name)
         for member in update.changed:
             _remove_former_holders(by_name, member)
@@ -288,8 +403,9 @@
         own = by_name.get(self._own.name)
         if own is not None and own != self._own:
             self._on_stale_entry()
-        if own != self._own and update.is_snapshot | (
-            self._own.name in update.removed
+        is_missing = update.is_snapshot and is_from_platform
+        if own != self._own and (
+            is_missing or self._own.name in update.removed
         ):
             self._registration_needed.set()
         by_name[self._own.name] = self._own
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -68,12 +68,18 @@
     return session
 
 
-def no_policy() -> tuple[int, bytes]:
-    return 0, b''
+class NoDeployment:
+    """Peer services of a node that knows nothing of the deployment."""
+
+    def changes(self) -> tuple[int, int]:
+        return -1, -1
+
+    def lose_peer(self, name: str) -> None:
+        """Ignore the loss."""
 
 
 def make_server() -> PeerServer:
-    services = PeerServices(int, no_policy, lambda *_: 0)
+    services = PeerServices(NoDeployment(), lambda *_: 0)
     return PeerServer(FakeCallee(), services, EventLog(None))
 
 
--- a/mustardshunt/standin/store_server.py
+++ b/mustardshunt/standin/store_server.py
@@ -128,7 +128,8 @@
             stored = self._row_by_key.get((row['table'], row['key']))
             version = stored.version if stored else 0
             if version != row['ver']:
-                return web.json_response({'rows': []}, status=412)
+                rows = [stored.as_row()] if stored else []
+                return web.json_response({'rows': rows}, status=412)
         for row in entries.get('writes', []):
             table, key = row['table'], row['key']
             self._apply(
