Let few nodes of each data centre hold a usage cap

Cause: a cap was divided over all nodes, and a node asked one peer after another for tokens.

Change: each data centre has the same part of a cap, held by one of its first three nodes by the hash of the name, and by more where the cap is large. A node without a part requests tokens from these nodes; a request for tokens waits for its link. A part that runs low is filled up from the other data centres. The token of a request that was refused later goes back to its holder. A new holder starts without tokens. Ranking of nodes by hash exists once, in base.

Ruled out: one holder for each organisation with a lease. A cut would need a successor while the holder may still grant, which the bound does not allow.

--- a/mustardshunt/base/__init__.py
+++ b/mustardshunt/base/__init__.py
@@ -27,6 +27,7 @@
 from mustardshunt.base._importance import Importance
 from mustardshunt.base._members import MemberRecord, MemberState
 from mustardshunt.base._parameters import check_choice, check_range
+from mustardshunt.base._ranking import rank_of
 from mustardshunt.base._refusals import Effect, Reason, Refusal
 from mustardshunt.base._validation import ValidationIssue, nearest_name
 
@@ -56,5 +57,6 @@
     'check_choice',
     'check_range',
     'nearest_name',
+    'rank_of',
     'rendezvous_order',
 ]
--- a/mustardshunt/caps/_shares.py
+++ b/mustardshunt/caps/_shares.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from mustardshunt.caps._division import CapDivision, CapPart
 from mustardshunt.policy import OrganisationPolicy
 
 # All nodes together may exceed the usage cap by a relative amount (overage) and
@@ -17,12 +18,9 @@
 # nodes do not know of a new node yet, their shares are too large.
 USED_OVERAGE_FRACTION: Final = 0.5
 USED_SLACK_FRACTION: Final = 0.9
-# A new node spends no tokens for this time, so that the other nodes can reduce
-# their shares first.
+# A new node, or one that gets a share since others have left, uses none of its
+# share for this time, so that the other nodes can reduce their shares first.
 JOIN_SECONDS: Final = 1.5
-# Smallest burst of a share, in tokens. When an even division over all nodes
-# would result in smaller shares, only some of the nodes get a share.
-MIN_SHARE_TOKENS: Final = 2.0
 # Period ahead for which a node requests tokens from other nodes. A node that
 # grants tokens keeps the tokens that it needs itself in this period.
 PREFETCH_SECONDS: Final = 0.3
@@ -43,6 +41,8 @@
 # Time without a grant after which a token request counts as lost and the node
 # may send another one.
 REQUEST_TIMEOUT_SECONDS: Final = 0.25
+# Time for which no request is sent to a node that has not replied.
+SILENT_PEER_BACKOFF_SECONDS: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,14 +95,14 @@
         Most tokens that the bucket holds.
     rate : float
         Tokens that accrue per second.
-    nodes : int
-        Number of nodes that share the usage cap.
+    holders : int
+        Number of nodes that hold a share of the usage cap.
     """
 
     level: float
     capacity: float
     rate: float
-    nodes: int
+    holders: int
 
     def seconds_until_token(self) -> float:
         """Return the seconds until the bucket of this node has a whole token.
@@ -118,7 +118,10 @@
 class _Bucket:
     level: float
     updated_at: float
+    part: CapPart
+    division: CapDivision
     demand: float = 0.0
+    requested_from: str = ''
     requested_at: float = -REQUEST_TIMEOUT_SECONDS
     received_at: float = 0.0
 
@@ -146,12 +149,12 @@
     Examples
     --------
     >>> shares = CapShares(CapBounds(0.0, 0), starts_full=True)
-    >>> shares.set_nodes('a', ['a', 'b'])
-    >>> shares.set_caps({'o': OrganisationPolicy('o', None, 2.0, 4.0)}, 0.0)
-    >>> [shares.spend('o', now=0.0) for _ in range(3)]
-    [True, True, False]
-    >>> shares.make_request('o', ['b'], waiting=1, now=0.0)
-    TokenRequest(organisation='o', node='b', wanted=1)
+    >>> shares.set_nodes('a', {'a': 'z', 'b': 'z'})
+    >>> shares.set_caps({'o': OrganisationPolicy('o', None, 2.0, 8.0)}, 0.0)
+    >>> [shares.spend('o', now=0.0) for _ in range(5)]
+    [True, True, True, True, False]
+    >>> shares.make_request('o', shares.holders('o'), waiting=1, now=0.0)
+    TokenRequest(organisation='o', node='b', wanted=2)
     """
 
     def __init__(
@@ -163,8 +166,7 @@
         self._bounds = bounds
         self._starts_full = starts_full
         self._usable_from = usable_from
-        self._node_index = 0
-        self._node_count = 1
+        self._division = CapDivision('', {'': ''})
         self._cap_by_name: Mapping[str, OrganisationPolicy] = {}
         self._bucket_by_name: dict[str, _Bucket] = {}
         self._backoff_until: dict[tuple[str, str], float] = {}
@@ -177,21 +179,24 @@
         """
         self._usable_from = 0.0
 
-    def set_nodes(self, own: str, names: Collection[str]) -> None:
+    def set_nodes(
+        self, own: str, data_centre_by_name: Mapping[str, str]
+    ) -> None:
         """Set the nodes over which the usage caps are divided.
 
         Parameters
         ----------
         own : str
             Name of this node.
-        names : collection of str
-            Names of all nodes, including this one.
+        data_centre_by_name : mapping of str to str
+            Data centres of all nodes, including this one.
         """
-        self._node_count = max(1, len(names))
-        self._node_index = sum(name < own for name in names)
-        for name, cap in self._cap_by_name.items():
-            bucket = self._bucket_by_name[name]
-            bucket.level = min(bucket.level, self._capacity(cap))
+        self._division = CapDivision(own, data_centre_by_name)
+
+    def holders(self, organisation: str) -> Collection[str]:
+        """Return the nodes to request tokens from, the preferred ones first."""
+        bucket = self._find_bucket(organisation)
+        return () if bucket is None else bucket.part.holder_names
 
     def set_caps(
         self,
@@ -215,12 +220,16 @@
         }
         self._cap_by_name = limited
         for name, cap in limited.items():
+            part = self._division.part_of(name, self._total_capacity(cap))
             known = self._bucket_by_name.get(name)
             if known is None:
-                level = self._capacity(cap) if self._starts_full else 0.0
-                self._bucket_by_name[name] = _Bucket(level, now)
+                capacity = self._total_capacity(cap) * part.fraction
+                level = capacity if self._starts_full else 0.0
+                self._bucket_by_name[name] = _Bucket(
+                    level, now, part, self._division
+                )
                 continue
-            known.level = min(known.level, self._capacity(cap))
+            self._set_part(cap, known, part, now)
         # The bucket of an organisation that is added while this node runs
         # starts full. The bucket of a removed organisation is kept, so that the
         # organisation gets no new burst when a later policy lists it again.
@@ -236,17 +245,29 @@
             return True
         self._refill(organisation, bucket, now)
         bucket.demand += 1.0 / DEMAND_WINDOW_SECONDS
-        if now < self._usable_from or bucket.level < 1:
+        is_joining = bucket.part.fraction > 0 and now < self._usable_from
+        if is_joining or bucket.level < 1:
             return False
         bucket.level -= 1.0
         return True
 
-    def refund(self, organisation: str, now: float) -> None:
-        """Put the token of a request that did not run back into the bucket."""
-        bucket = self._bucket_by_name.get(organisation)
-        if bucket is not None:
-            self._refill(organisation, bucket, now)
-            self._add_tokens(organisation, bucket, 1)
+    def refund(self, organisation: str, now: float) -> str | None:
+        """Put the token of a request that did not run back into a bucket.
+
+        Returns
+        -------
+        str or None
+            Node to which the token is to be sent, since this node has no share
+            that could keep it. None if this node keeps the token.
+        """
+        bucket = self._find_bucket(organisation)
+        if bucket is None:
+            return None
+        self._refill(organisation, bucket, now)
+        if not bucket.part.fraction and bucket.part.holder_names:
+            return bucket.part.holder_names[0]
+        self._add_tokens(organisation, bucket, 1)
+        return None
 
     def is_low(self, organisation: str, now: float) -> bool:
         """Tell whether tokens should be requested before the bucket is empty.
@@ -258,9 +279,10 @@
         if bucket is None:
             return False
         cap = self._cap_by_name[organisation]
-        if bucket.level >= LOW_LEVEL_FRACTION * self._capacity(cap):
+        if bucket.level >= LOW_LEVEL_FRACTION * self._capacity(cap, bucket):
             return False
-        return bucket.demand > self._rate(cap) and _may_request(bucket, now)
+        is_short = bucket.demand > self._rate(cap, bucket)
+        return is_short and _may_request(bucket, now)
 
     def make_request(
         self,
@@ -271,8 +293,8 @@
     ) -> TokenRequest | None:
         """Record and return a token request to the first suitable node.
 
-        A node that has granted nothing within ``EMPTY_PEER_BACKOFF_SECONDS`` is
-        skipped.
+        A node that has granted nothing within ``EMPTY_PEER_BACKOFF_SECONDS``,
+        or has not replied within ``SILENT_PEER_BACKOFF_SECONDS``, is skipped.
 
         Parameters
         ----------
@@ -294,12 +316,18 @@
         bucket = self._find_bucket(organisation)
         if bucket is None or not _may_request(bucket, now):
             return None
+        if bucket.requested_from:
+            self._backoff_until[organisation, bucket.requested_from] = (
+                now + SILENT_PEER_BACKOFF_SECONDS
+            )
+            bucket.requested_from = ''
         for node in nodes:
             if self._backoff_until.get((organisation, node), 0.0) > now:
                 continue
             bucket.requested_at = now
+            bucket.requested_from = node
             wanted = max(1, waiting)
-            if self._has_share(self._cap_by_name[organisation]):
+            if bucket.part.fraction:
                 wanted = max(wanted, round(PREFETCH_SECONDS * bucket.demand))
             return TokenRequest(organisation, node, wanted)
         return None
@@ -313,16 +341,21 @@
         bucket = self._find_bucket(organisation)
         return bucket is not None and not _may_request(bucket, now)
 
-    def grant(self, organisation: str, wanted: int, now: float) -> int:
+    def grant(
+        self, organisation: str, requester: str, wanted: int, now: float
+    ) -> int:
         """Take tokens out of this node's bucket for another node.
 
-        This node keeps the tokens that it needs itself within
-        ``PREFETCH_SECONDS``. It grants at most half of the others, rounded up.
+        From a node that also has a share, this node keeps the tokens that it
+        needs itself within ``PREFETCH_SECONDS``, and grants at most half of the
+        others, rounded up.
 
         Parameters
         ----------
         organisation : str
             Organisation of the tokens.
+        requester : str
+            Name of the other node.
         wanted : int
             Number of tokens that the other node requests.
         now : float
@@ -337,12 +370,28 @@
         if bucket is None or now < self._usable_from:
             return 0
         self._refill(organisation, bucket, now)
-        reserve = PREFETCH_SECONDS * bucket.demand
-        spare = int(max(0.0, bucket.level - reserve))
-        granted = min(wanted, (spare + 1) // 2)
+        if not bucket.part.fraction:
+            return 0
+        if requester in bucket.part.holder_names:
+            reserve = PREFETCH_SECONDS * bucket.demand
+            spare = int(max(0.0, bucket.level - reserve))
+            granted = min(wanted, (spare + 1) // 2)
+        else:
+            bucket.demand += wanted / DEMAND_WINDOW_SECONDS
+            granted = min(wanted, int(bucket.level))
+        granted = max(0, granted)
         bucket.level -= granted
         return granted
 
+    def take_back(self, organisation: str, amount: int, now: float) -> None:
+        """Add tokens that another node returns, up to the capacity."""
+        bucket = self._find_bucket(organisation)
+        if bucket is None:
+            return
+        self._refill(organisation, bucket, now)
+        if bucket.part.fraction:
+            self._add_tokens(organisation, bucket, max(0, amount))
+
     def receive(
         self,
         organisation: str,
@@ -368,6 +417,7 @@
         if bucket is None:
             return
         bucket.requested_at = now - REQUEST_TIMEOUT_SECONDS
+        bucket.requested_from = ''
         if amount <= 0:
             self._backoff_until[organisation, node] = (
                 now + EMPTY_PEER_BACKOFF_SECONDS
@@ -381,13 +431,14 @@
         """Return the current state of this node's share of a usage cap."""
         bucket = self._find_bucket(organisation)
         if bucket is None:
-            return ShareView(1.0, 1.0, 1.0, self._node_count)
+            return ShareView(1.0, 1.0, 1.0, 1)
         cap = self._cap_by_name[organisation]
+        is_holder = bucket.part.fraction > 0
         return ShareView(
             bucket.level,
-            self._capacity(cap),
-            self._rate(cap),
-            self._node_count,
+            self._capacity(cap, bucket),
+            self._rate(cap, bucket),
+            len(bucket.part.holder_names) + is_holder,
         )
 
     def _find_bucket(self, organisation: str) -> _Bucket | None:
@@ -398,7 +449,7 @@
     def _add_tokens(
         self, organisation: str, bucket: _Bucket, amount: int
     ) -> None:
-        capacity = self._capacity(self._cap_by_name[organisation])
+        capacity = self._capacity(self._cap_by_name[organisation], bucket)
         if not capacity:
             # A node without a share has a capacity of 0 and still stores
             # granted tokens. Such a node requests tokens only for waiting
@@ -408,62 +459,57 @@
         bucket.level = min(capacity, bucket.level + amount)
 
     def _refill(self, organisation: str, bucket: _Bucket, now: float) -> None:
+        cap = self._cap_by_name[organisation]
+        if bucket.division is not self._division:
+            part = self._division.part_of(
+                organisation, self._total_capacity(cap)
+            )
+            self._set_part(cap, bucket, part, now)
         elapsed = max(0.0, now - bucket.updated_at)
         if not elapsed:
             return
         bucket.updated_at = now
         bucket.demand *= max(0.0, 1.0 - elapsed / DEMAND_WINDOW_SECONDS)
-        cap = self._cap_by_name[organisation]
-        capacity = self._capacity(cap)
+        capacity = self._capacity(cap, bucket)
         if (
             not capacity
             and now - bucket.received_at > BORROWED_TOKEN_TTL_SECONDS
         ):
             bucket.level = 0.0
         if bucket.level < capacity:
-            earned = elapsed * self._rate(cap)
+            earned = elapsed * self._rate(cap, bucket)
             bucket.level = min(capacity, bucket.level + earned)
 
-    def _overage_factor(self) -> float:
-        return 1.0 + self._bounds.overage * USED_OVERAGE_FRACTION
-
     def _total_capacity(self, cap: OrganisationPolicy) -> float:
         return (
-            cap.burst * self._overage_factor()
+            cap.burst * _overage_factor(self._bounds)
             + self._bounds.slack * USED_SLACK_FRACTION
         )
 
-    def _holder_count(self, cap: OrganisationPolicy) -> int:
-        # A share needs a burst of at least ``MIN_SHARE_TOKENS``. When the burst
-        # of the organisation is too small for that, only some nodes have a
-        # share. The nodes without a share request tokens from them.
-        return max(
-            1,
-            min(
-                self._node_count,
-                int(self._total_capacity(cap) / MIN_SHARE_TOKENS),
-            ),
-        )
+    def _set_part(
+        self,
+        cap: OrganisationPolicy,
+        bucket: _Bucket,
+        part: CapPart,
+        now: float,
+    ) -> None:
+        """Set this node's part of a cap; a new share starts without tokens."""
+        if part.fraction and not bucket.part.fraction:
+            bucket.level = 0.0
+            bucket.updated_at = now + JOIN_SECONDS
+        bucket.part = part
+        bucket.division = self._division
+        bucket.level = min(bucket.level, self._capacity(cap, bucket))
 
-    def _has_share(self, cap: OrganisationPolicy) -> bool:
-        holder_count = self._holder_count(cap)
-        if holder_count >= self._node_count:
-            return True
-        # Only some nodes have a share: consecutive nodes from a first one. The
-        # name of the organisation selects the first node, so that the shares of
-        # different organisations are spread over all nodes.
-        first = sum(cap.name.encode()) % self._node_count
-        return (self._node_index - first) % self._node_count < holder_count
-
-    def _capacity(self, cap: OrganisationPolicy) -> float:
-        if not self._has_share(cap):
-            return 0.0
-        return self._total_capacity(cap) / self._holder_count(cap)
-
-    def _rate(self, cap: OrganisationPolicy) -> float:
-        if not self._has_share(cap):
-            return 0.0
-        return cap.rate * self._overage_factor() / self._holder_count(cap)
+    def _capacity(self, cap: OrganisationPolicy, bucket: _Bucket) -> float:
+        return self._total_capacity(cap) * bucket.part.fraction
+
+    def _rate(self, cap: OrganisationPolicy, bucket: _Bucket) -> float:
+        return cap.rate * _overage_factor(self._bounds) * bucket.part.fraction
+
+
+def _overage_factor(bounds: CapBounds) -> float:
+    return 1.0 + bounds.overage * USED_OVERAGE_FRACTION
 
 
 def _may_request(bucket: _Bucket, now: float) -> bool:
--- a/mustardshunt/load_balancing/_link_plan.py
+++ b/mustardshunt/load_balancing/_link_plan.py
@@ -1,9 +1,9 @@
 """Chooses the members to which a node keeps links."""
 
-import hashlib
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from mustardshunt.base import rank_of
 from mustardshunt.load_balancing._members import Member
 
 # Members of one service to which a node keeps links: enough that a node finds
@@ -65,7 +65,7 @@
         """Replace the members of the deployment."""
         self._member_by_name = by_name
         self._unusable_names.intersection_update(by_name)
-        ring = sorted(by_name.values(), key=_ring_position)
+        ring = [by_name[name] for name in sorted(by_name, key=rank_of)]
         self._ring_by_service = {}
         for member in ring:
             self._ring_by_service.setdefault(member.service, []).append(member)
@@ -176,8 +176,3 @@
     if name not in ordered:
         return 0.0
     return ordered.index(name) / len(ordered)
-
-
-def _ring_position(member: Member) -> tuple[bytes, str]:
-    digest = hashlib.blake2b(member.name.encode(), digest_size=8).digest()
-    return digest, member.name
--- a/mustardshunt/membership/_follower_role.py
+++ b/mustardshunt/membership/_follower_role.py
@@ -1,10 +1,9 @@
 """Decides which nodes follow the platform's changes for their data centre."""
 
-import hashlib
 from collections.abc import Iterable
 from typing import Final
 
-from mustardshunt.base import RandomSource
+from mustardshunt.base import RandomSource, rank_of
 
 # Time without a report after which a follower counts as lost. Followers report
 # at least every 1.2 s, so two reports in a row are missing.
@@ -103,8 +102,3 @@
         return MIN_START_SECONDS + self._random.random() * (
             MAX_START_SECONDS - MIN_START_SECONDS
         )
-
-
-def rank_of(name: str) -> tuple[bytes, str]:
-    """Return a sort key by which nodes take over, the lowest one first."""
-    return hashlib.blake2b(name.encode(), digest_size=8).digest(), name
--- a/mustardshunt/membership/tests/test_follower_role.py
+++ b/mustardshunt/membership/tests/test_follower_role.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from mustardshunt.base import rank_of
 from mustardshunt.membership import FollowerRole
 from mustardshunt.membership._follower_role import (
     DEPUTY_COUNT,
     REPORT_TIMEOUT_SECONDS,
     TAKEOVER_SECONDS,
     TAKEOVER_STEP_SECONDS,
-    rank_of,
 )
 
 STEP = 0.1
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -1,7 +1,6 @@
 """Applies updates of the deployment to the components of the node."""
 
-import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from mustardshunt.base import Clock
@@ -92,7 +91,6 @@
         self._newest_change = -1
         self._links: LinkManager | None = None
         self._rate_limiter: RateLimiter | None = None
-        self._random = random.Random(own.incarnation)
 
     def connect(
         self,
@@ -144,7 +142,10 @@
         components = self._components
         components.balancer.set_members(by_name.values())
         components.retries.set_node_count(len(by_name))
-        components.caps.set_nodes(self._own.name, by_name)
+        components.caps.set_nodes(
+            self._own.name,
+            {name: member.data_centre for name, member in by_name.items()},
+        )
         if self._links is not None:
             self._links.set_members(by_name)
         self._on_change()
@@ -180,19 +181,17 @@
         if self._rate_limiter is not None:
             self._rate_limiter.receive(grant.organisation, name, grant.amount)
 
-    def peer_names(self) -> list[str]:
-        """Return the names of the nodes with open links.
+    def reachable_first(self, names: Collection[str]) -> list[str]:
+        """Return nodes in the given order, those with open links first.
 
-        The nodes of this node's data centre come first. Otherwise the order is
-        random.
+        A link to the first node is opened if there is none, since the next
+        requests go there.
         """
-        if self._links is None:
+        links = self._links
+        if links is None or not names:
             return []
-        members = self._links.open_members()
-        self._random.shuffle(members)
-        own = self._own.data_centre
-        members.sort(key=lambda member: member.data_centre != own)
-        return [member.name for member in members]
+        links.open(next(iter(names)))
+        return sorted(names, key=lambda name: not links.is_open(name))
 
     def request(self, token_request: TokenRequest) -> None:
         """Send a token request to the node named in the request."""
@@ -206,6 +205,12 @@
                 token_request.organisation, token_request.wanted
             )
 
+    def return_token(self, organisation: str, node: str) -> None:
+        """Send a token that is not needed back to a node with a share."""
+        link = None if self._links is None else self._links.find(node)
+        if link is not None:
+            link.send(TokenGrantFrame(organisation, 1))
+
     def _activate_policy(self, policy: Policy, document: bytes) -> None:
         components = self._components
         if not components.registry.accept(policy):
--- a/mustardshunt/sidecar/_link_manager.py
+++ b/mustardshunt/sidecar/_link_manager.py
@@ -54,9 +54,10 @@
         """Return the link to a node, opened if necessary; None if unknown."""
         return self._pool.open(name)
 
-    def open_members(self) -> list[Member]:
-        """Return the members whose links are open."""
-        return self._pool.open_members()
+    def is_open(self, name: str) -> bool:
+        """Whether the link to a node exists and is open."""
+        link = self._pool.find(name)
+        return link is not None and link.is_open
 
     def set_members(self, by_name: Mapping[str, Member]) -> None:
         """Replace the members of the deployment."""
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -257,7 +257,7 @@
             self._callee,
             PeerServices(
                 self._relay,
-                rate_limiter.grant,
+                rate_limiter,
             ),
             log,
         )
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -147,6 +147,7 @@
         self._peer_incarnation = ''
         self._last_update: BackendServerStatusUpdate | None = None
         self._future_by_number: dict[int, asyncio.Future[CallResult]] = {}
+        self._wanted_by_organisation: dict[str, int] = {}
         self._reconnect_pause = FIRST_RECONNECT_PAUSE_SECONDS
         self._pinged_at = 0.0
         self._busy_since = 0.0
@@ -207,8 +208,10 @@
             self._stream.send(Cancel(number))
 
     def request_tokens(self, organisation: str, wanted: int) -> None:
-        """Request tokens from the peer, if the link is open."""
-        if self._stream is not None:
+        """Request tokens from the peer, as soon as the link is open."""
+        if self._stream is None:
+            self._wanted_by_organisation[organisation] = wanted
+        else:
             self._stream.send(TokenRequestFrame(organisation, wanted))
 
     def send(self, frame: Frame) -> None:
@@ -316,6 +319,9 @@
                 incarnation=update.incarnation,
             )
             self._deployment.greet(self, update.revision)
+            for wanted_tokens in self._wanted_by_organisation.items():
+                stream.send(TokenRequestFrame(*wanted_tokens))
+            self._wanted_by_organisation.clear()
         self._last_update = update
         self._events.peer_status(self.member.name, update)
         self._deployment.hear_changes(self, update.revision, -1)
@@ -397,6 +403,7 @@
         self._future_by_number.clear()
 
     def _handle_failed_dial(self) -> None:
+        self._wanted_by_organisation.clear()
         self._events.peer_lost(self.member.name)
         self._increase_pause()
 
@@ -446,12 +453,6 @@
             )
         return self._link_by_name[name]
 
-    def open_members(self) -> list[Member]:
-        """Return the members whose links are open."""
-        return [
-            link.member for link in self._link_by_name.values() if link.is_open
-        ]
-
     def set_members(self, by_name: Mapping[str, Member]) -> None:
         """Set the members, and close links to changed or removed members."""
         self._member_by_name = by_name
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol, TypeAlias
 
@@ -76,6 +75,18 @@
         ...
 
 
+class TokenServices(Protocol):
+    """Moves tokens between this node's shares and other nodes."""
+
+    def grant(self, organisation: str, requester: str, wanted: int) -> int:
+        """Remove at most ``wanted`` tokens, return how many were removed."""
+        ...
+
+    def take_back(self, organisation: str, amount: int) -> None:
+        """Add tokens that another node returns."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class PeerServices:
     """Functions that serve requests of other nodes, except calls.
@@ -84,14 +95,12 @@
     ----------
     relay : DeploymentServices
         Exchanges the state of the deployment with other nodes.
-    grant_tokens : callable
-        Takes the name of an organisation and the number of tokens wanted.
-        Removes at most this number of tokens from this node's share and
-        returns how many were removed.
+    tokens : TokenServices
+        Moves tokens of the organisations' rates.
     """
 
     relay: DeploymentServices
-    grant_tokens: Callable[[str, int], int]
+    tokens: TokenServices
 
 
 class PeerSession:
@@ -336,11 +345,14 @@
             case CallStatusRequest():
                 session.report_call_statuses(frame.numbers)
             case TokenRequestFrame():
-                amount = self._services.grant_tokens(
-                    frame.organisation,
-                    frame.wanted,
+                amount = self._services.tokens.grant(
+                    frame.organisation, session.name, frame.wanted
                 )
                 stream.send(TokenGrantFrame(frame.organisation, amount))
+            case TokenGrantFrame():
+                self._services.tokens.take_back(
+                    frame.organisation, frame.amount
+                )
             case StateRequest() | OperatorState() | MemberState():
                 self._handle_state(frame, stream)
 
--- a/mustardshunt/sidecar/_rate_limiter.py
+++ b/mustardshunt/sidecar/_rate_limiter.py
@@ -1,6 +1,7 @@
 """Limits request rates of organisations; requests tokens from peers."""
 
 import asyncio
+from collections.abc import Collection
 from typing import Final, Protocol
 
 from mustardshunt.base import Clock
@@ -15,14 +16,18 @@
 class TokenPeers(Protocol):
     """Nodes to which token requests can be sent."""
 
-    def peer_names(self) -> list[str]:
-        """Return the names of the nodes, the preferred ones first."""
+    def reachable_first(self, names: Collection[str]) -> list[str]:
+        """Return nodes in the given order, those with open links first."""
         ...
 
     def request(self, token_request: TokenRequest) -> None:
         """Send a token request to the node named in the request."""
         ...
 
+    def return_token(self, organisation: str, node: str) -> None:
+        """Send a token that is not needed back to a node with a share."""
+        ...
+
 
 class RateLimiter:
     """Spends one token of an organisation for each of its requests.
@@ -87,8 +92,11 @@
 
     def refund(self, organisation: str) -> None:
         """Put the token of a request that has not run back into the share."""
-        if organisation:
-            self._shares.refund(organisation, self._clock.now())
+        if not organisation:
+            return
+        node = self._shares.refund(organisation, self._clock.now())
+        if node is not None:
+            self._peers.return_token(organisation, node)
 
     def snapshot(self, organisation: str) -> ShareView:
         """Return this node's share of an organisation's rate."""
@@ -102,16 +110,25 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    def grant(self, organisation: str, wanted: int) -> int:
+    def grant(self, organisation: str, requester: str, wanted: int) -> int:
         """Remove tokens from this node's share, to grant them to another node.
 
-        Removes at most ``wanted`` tokens and returns the number removed.
+        Removes at most ``wanted`` tokens and returns the number removed. When
+        the share runs low, this node requests tokens from other nodes itself.
         """
-        return self._shares.grant(organisation, wanted, self._clock.now())
+        now = self._clock.now()
+        granted = self._shares.grant(organisation, requester, wanted, now)
+        if self._shares.is_low(organisation, now):
+            self._request_tokens(organisation, now)
+        return granted
+
+    def take_back(self, organisation: str, amount: int) -> None:
+        """Add tokens that another node returns to this node's share."""
+        self._shares.take_back(organisation, amount, self._clock.now())
 
     def _request_tokens(self, organisation: str, now: float) -> None:
         waiting = len(self._waiters_by_organisation.get(organisation, ())) + 1
-        names = self._peers.peer_names()
+        names = self._peers.reachable_first(self._shares.holders(organisation))
         token_request = self._shares.make_request(
             organisation, names, waiting, now
         )
--- a/mustardshunt/sidecar/_request_log.py
+++ b/mustardshunt/sidecar/_request_log.py
@@ -72,7 +72,7 @@
             tokens=round(share.level, 2),
             depth=round(share.capacity, 2),
             rate=round(share.rate, 2),
-            nodes=share.nodes,
+            holders=share.holders,
             policy=self._registry.version,
         )
 
--- a/mustardshunt/sidecar/tests/test_call_status_properties.py
+++ b/mustardshunt/sidecar/tests/test_call_status_properties.py
@@ -19,7 +19,7 @@
     PeerServices,
     PeerSession,
 )
-from mustardshunt.sidecar.tests.test_peer_session import NoDeployment
+from mustardshunt.sidecar.tests.test_peer_session import NoDeployment, NoTokens
 from mustardshunt.upstream import AdmissionRequest
 
 INCARNATION = 'a-1'
@@ -87,7 +87,7 @@
 
     def __init__(self) -> None:
         self.callee = FakeCallee()
-        services = PeerServices(NoDeployment(), lambda *_: 0)
+        services = PeerServices(NoDeployment(), NoTokens())
         self.server = PeerServer(self.callee, services, EventLog(None))
         self.stream: FakeStream | None = None
         self.session: PeerSession | None = None
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -78,8 +78,15 @@
         """Ignore the loss."""
 
 
+class NoTokens:
+    """Token services of a node without any share."""
+
+    def grant(self, organisation: str, requester: str, wanted: int) -> int:
+        return 0
+
+
 def make_server() -> PeerServer:
-    services = PeerServices(NoDeployment(), lambda *_: 0)
+    services = PeerServices(NoDeployment(), NoTokens())
     return PeerServer(FakeCallee(), services, EventLog(None))
 
 
--- a/mustardshunt/standin/tests/test_deployment.py
+++ b/mustardshunt/standin/tests/test_deployment.py
@@ -215,7 +215,8 @@
     second = await deployment.add_node('b')
     await deployment.wait_until_served(first)
     await deployment.wait_until_served(second)
-    await wait_until(lambda: len(first.sidecar._links.open_members()) == 1)
+    name = second.settings.node.name
+    await wait_until(lambda: first.sidecar._links.is_open(name))
     both = deployment.nodes
     tenants = {
         'acme': {'api_keys': ['k-acme'], 'rate_per_s': 1, 'burst': 10},
