Ping idle links rarely and keep eight links for each service

Change: idle links are pinged every 2.5 s and count as silent after 5.5 s; the kernel probes the path every second, which wakes no process. A node keeps links to 8 members of each service, 5 at most in its own data centre.

--- a/mustardshunt/load_balancing/_link_plan.py
+++ b/mustardshunt/load_balancing/_link_plan.py
@@ -8,11 +8,11 @@
 
 # Members of one service to which a node keeps links: enough that a node finds
 # room after three refusals, and that the failure of some leaves a choice.
-SUBSET_SIZE: Final = 12
+SUBSET_SIZE: Final = 8
 # Largest number of these members in the node's own data centre. The others are
 # in other data centres, for the time when the own data centre is overloaded or
 # out of service.
-LOCAL_SUBSET_SIZE: Final = 8
+LOCAL_SUBSET_SIZE: Final = 5
 # Time after the last call to a service for which its links are kept, in
 # seconds.
 SERVICE_IDLE_SECONDS: Final = 60.0
--- a/mustardshunt/relay/_backend_pool.py
+++ b/mustardshunt/relay/_backend_pool.py
@@ -3,13 +3,13 @@
 import asyncio
 import enum
 import functools
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol, TypeAlias, cast
 
 from mustardshunt.base import VmAddress
 from mustardshunt.relay._http_parser import AnswerHead, AnswerParser
+from mustardshunt.relay._keepalive import enable_keepalive
 from mustardshunt.relay._messages import RawHeaders
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -22,10 +22,6 @@
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 5.0
 # Largest number of Keep-Alive header values whose parsed timeouts are cached.
 KEEP_ALIVE_CACHE_SIZE: Final = 64
-# Idle time before the first probe of the kernel, interval between probes, in
-# seconds, and number of unanswered probes after which a connection is lost.
-PROBE_SECONDS: Final = 1
-PROBE_COUNT: Final = 2
 _TIMEOUT_PARAMETER: Final = 'timeout='
 
 
@@ -256,7 +252,7 @@
         self._transport = cast(asyncio.Transport, transport)
         tcp_socket = transport.get_extra_info('socket')
         if tcp_socket is not None:
-            _detect_silence(tcp_socket)
+            enable_keepalive(tcp_socket)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes without a waiting call are no answer."""
@@ -391,22 +387,6 @@
             job.finish(BackendFailure(kind, has_begun))
 
 
-def _detect_silence(tcp_socket: socket.socket) -> None:
-    """Let the kernel probe a connection on which an answer is awaited.
-
-    A request for changes waits for many seconds. Without the probes, a path
-    that has failed silently would be found only when the wait is over.
-    """
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS
-    )
-    tcp_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS
-    )
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
-
-
 @functools.lru_cache(maxsize=KEEP_ALIVE_CACHE_SIZE)
 def _parse_keep_alive(header_value: str) -> float:
     for part in header_value.split(','):
--- a/mustardshunt/relay/_streams.py
+++ b/mustardshunt/relay/_streams.py
@@ -13,6 +13,7 @@
     FrameSplitter,
     encode_frame,
 )
+from mustardshunt.relay._keepalive import enable_keepalive
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 # Upper limit on the unsent bytes of a connection. A connection above the limit
@@ -91,6 +92,7 @@
         tcp_socket = transport.get_extra_info('socket')
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            enable_keepalive(tcp_socket)
         if self._on_open is not None:
             self._on_open(self)
 
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -40,9 +40,12 @@
 # some other call would usually have arrived by then.
 BUSY_MAX_SILENCE_SECONDS: Final = 0.7
 BUSY_PING_INTERVAL_SECONDS: Final = 0.25
-# Longest silence and ping interval of a link on which no call waits.
-IDLE_MAX_SILENCE_SECONDS: Final = 2.5
-IDLE_PING_INTERVAL_SECONDS: Final = 1.2
+# Longest silence and ping interval of a link on which no call waits. The kernel
+# detects a failed path sooner; these pings detect a peer that has been frozen.
+# Most links of a large deployment are idle most of the time, so that frequent
+# pings would take more processor time than the calls.
+IDLE_MAX_SILENCE_SECONDS: Final = 5.5
+IDLE_PING_INTERVAL_SECONDS: Final = 2.5
 # Time for which calls on a lost link wait for a new link, on which the peer
 # sends the status of each call.
 CALL_STATUS_TIMEOUT_SECONDS: Final = 1.2
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -37,7 +37,7 @@
 RECONNECT_SECONDS: Final = 1.5
 # Time without a frame after which a link is closed: the node at the other end
 # has ended or cannot be reached.
-MAX_SILENCE_SECONDS: Final = 6.0
+MAX_SILENCE_SECONDS: Final = 8.0
 LISTEN_BACKLOG: Final = 512
 # Largest total size of the call results stored for one sending node. The
 # results of the last few seconds fit into this size.
