Hold the retry minimum as a shared cap

Cause: the minimum of retries that is allowed without requests was divided by the number of nodes. At 195 nodes each had about one retry in ten seconds, so a local fault found no budget where it struck.

Change: the minimum is a cap for each service and kind of call, held by the same shares as the usage caps; a node without a retry token requests one from a holder. Caps of organisations and of retries have one type, Cap. The fraction of the minimum for each cap (1/22) covers the child calls that a retried request repeats at the other services.

Found with it: a cap of 4.8 tokens divided among five data centres left every share below one token, so no retry was ever allowed. Small caps are now held in fewer data centres, each with two tokens at least.

Measured: the new property test failed with no retry at 5 nodes and passes from 1 to 200 nodes; tests of caps, load_balancing and sidecar pass.

--- a/mustardshunt/caps/__init__.py
+++ b/mustardshunt/caps/__init__.py
@@ -1,12 +1,14 @@
-"""Usage caps, which limit the requests of each organisation over all nodes.
-
-A usage cap consists of a rate and a burst. Each node spends tokens from its own
-share of the cap.
-"""
+"""Caps on what all nodes together may spend: requests and retries."""
 
+from mustardshunt.caps._caps import (
+    Cap,
+    CapBounds,
+    make_retry_caps,
+    make_usage_caps,
+    retry_cap_name,
+)
 from mustardshunt.caps._shares import (
     JOIN_SECONDS,
-    CapBounds,
     CapShares,
     ShareView,
     TokenRequest,
@@ -14,8 +16,12 @@
 
 __all__ = [
     'JOIN_SECONDS',
+    'Cap',
     'CapBounds',
     'CapShares',
     'ShareView',
     'TokenRequest',
+    'make_retry_caps',
+    'make_usage_caps',
+    'retry_cap_name',
 ]
--- a/mustardshunt/caps/_division.py
+++ b/mustardshunt/caps/_division.py
@@ -9,6 +9,10 @@
 # Smallest burst of a share, in tokens. A usage cap is divided into fewer
 # shares when an even division over all nodes would result in smaller ones.
 MIN_SHARE_TOKENS: Final = 4.0
+# Smallest burst that the shares of one data centre have together, in tokens.
+# Fewer data centres hold shares of a cap when an even division would result in
+# less: a bucket whose capacity is below 1 never holds a whole token.
+MIN_DATA_CENTRE_TOKENS: Final = 2.0
 # Number of nodes in each data centre among which the shares of small usage caps
 # are spread. A node requests tokens from these nodes only, so the number of its
 # links does not grow with the number of nodes.
@@ -36,8 +40,9 @@
     """Divides usage caps among nodes.
 
     Each data centre has the same part of a cap, and a bounded number of its
-    nodes hold it. All nodes that know the same members compute the same
-    division, and the fractions of all nodes add up to 1.
+    nodes hold it. A small cap is held in some of the data centres only. All
+    nodes that know the same members compute the same division, and the
+    fractions of all nodes add up to 1.
 
     Parameters
     ----------
@@ -74,7 +79,7 @@
         tokens : float
             Largest burst of all nodes together.
         """
-        data_centres = _rotate(sorted(self._ring_by_data_centre), self._rank)
+        data_centres = _rotate(self._holding(organisation, tokens), self._rank)
         data_centres.sort(key=lambda name: name != self._own_data_centre)
         count = max(1, int(tokens / MIN_SHARE_TOKENS / len(data_centres)))
         fraction = 0.0
@@ -88,6 +93,11 @@
             fraction, tuple(name for name in names if name != self._own)
         )
 
+    def _holding(self, organisation: str, tokens: float) -> list[str]:
+        count = max(1, int(tokens / MIN_DATA_CENTRE_TOKENS))
+        first = int.from_bytes(rank_of(organisation)[0])
+        return _rotate(sorted(self._ring_by_data_centre), first)[:count]
+
     def _holders(
         self, data_centre: str, organisation: str, count: int
     ) -> list[str]:
--- a/mustardshunt/caps/_shares.py
+++ b/mustardshunt/caps/_shares.py
@@ -9,15 +9,9 @@
 from dataclasses import dataclass
 from typing import Final
 
+from mustardshunt.caps._caps import Cap
 from mustardshunt.caps._division import CapDivision, CapPart
-from mustardshunt.policy import OrganisationPolicy
-
-# All nodes together may exceed the usage cap by a relative amount (overage) and
-# an absolute amount (slack). These fractions of the two amounts are divided
-# into shares, in addition to the cap. The rest is a reserve: as long as some
-# nodes do not know of a new node yet, their shares are too large.
-USED_OVERAGE_FRACTION: Final = 0.5
-USED_SLACK_FRACTION: Final = 0.9
+
 # A new node, or one that gets a share since others have left, uses none of its
 # share for this time, so that the other nodes can reduce their shares first.
 JOIN_SECONDS: Final = 1.5
@@ -45,24 +39,6 @@
 SILENT_PEER_BACKOFF_SECONDS: Final = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class CapBounds:
-    """Amount by which an organisation may exceed its usage cap.
-
-    Parameters
-    ----------
-    overage : float
-        Amount by which rate and burst may be exceeded, as a fraction of rate
-        and burst.
-    slack : int
-        Number of requests that may be admitted above the cap in any interval
-        of time.
-    """
-
-    overage: float
-    slack: int
-
-
 @dataclass(frozen=True, slots=True)
 class TokenRequest:
     """Request for tokens from another node.
@@ -138,8 +114,6 @@
 
     Parameters
     ----------
-    bounds : CapBounds
-        Amount by which an organisation may exceed its usage cap.
     starts_full : bool
         Whether buckets start full. False when an earlier process of this node
         may already have spent the tokens of the share.
@@ -148,9 +122,9 @@
 
     Examples
     --------
-    >>> shares = CapShares(CapBounds(0.0, 0), starts_full=True)
+    >>> shares = CapShares(starts_full=True)
     >>> shares.set_nodes('a', {'a': 'z', 'b': 'z'})
-    >>> shares.set_caps({'o': OrganisationPolicy('o', None, 2.0, 8.0)}, 0.0)
+    >>> shares.set_caps({'o': Cap(2.0, 8.0)}, 0.0)
     >>> [shares.spend('o', now=0.0) for _ in range(5)]
     [True, True, True, True, False]
     >>> shares.make_request('o', shares.holders('o'), waiting=1, now=0.0)
@@ -159,15 +133,13 @@
 
     def __init__(
         self,
-        bounds: CapBounds,
         starts_full: bool,
         usable_from: float = 0.0,
     ) -> None:
-        self._bounds = bounds
         self._starts_full = starts_full
         self._usable_from = usable_from
         self._division = CapDivision('', {'': ''})
-        self._cap_by_name: Mapping[str, OrganisationPolicy] = {}
+        self._cap_by_name: Mapping[str, Cap] = {}
         self._bucket_by_name: dict[str, _Bucket] = {}
         self._backoff_until: dict[tuple[str, str], float] = {}
 
@@ -200,7 +172,7 @@
 
     def set_caps(
         self,
-        cap_by_name: Mapping[str, OrganisationPolicy],
+        cap_by_name: Mapping[str, Cap],
         now: float,
     ) -> None:
         """Apply the usage caps of a new policy.
@@ -210,20 +182,17 @@
 
         Parameters
         ----------
-        cap_by_name : mapping of str to OrganisationPolicy
-            Usage caps by organisation; a rate of 0 means no limit.
+        cap_by_name : mapping of str to Cap
+            Caps by name. A name without a cap has no limit.
         now : float
             Seconds on this node's clock.
         """
-        limited = {
-            name: cap for name, cap in cap_by_name.items() if cap.rate > 0
-        }
-        self._cap_by_name = limited
-        for name, cap in limited.items():
-            part = self._division.part_of(name, self._total_capacity(cap))
+        self._cap_by_name = cap_by_name
+        for name, cap in cap_by_name.items():
+            part = self._division.part_of(name, cap.burst)
             known = self._bucket_by_name.get(name)
             if known is None:
-                capacity = self._total_capacity(cap) * part.fraction
+                capacity = cap.burst * part.fraction
                 level = capacity if self._starts_full else 0.0
                 self._bucket_by_name[name] = _Bucket(
                     level, now, part, self._division
@@ -461,9 +430,7 @@
     def _refill(self, organisation: str, bucket: _Bucket, now: float) -> None:
         cap = self._cap_by_name[organisation]
         if bucket.division is not self._division:
-            part = self._division.part_of(
-                organisation, self._total_capacity(cap)
-            )
+            part = self._division.part_of(organisation, cap.burst)
             self._set_part(cap, bucket, part, now)
         elapsed = max(0.0, now - bucket.updated_at)
         if not elapsed:
@@ -480,15 +447,9 @@
             earned = elapsed * self._rate(cap, bucket)
             bucket.level = min(capacity, bucket.level + earned)
 
-    def _total_capacity(self, cap: OrganisationPolicy) -> float:
-        return (
-            cap.burst * _overage_factor(self._bounds)
-            + self._bounds.slack * USED_SLACK_FRACTION
-        )
-
     def _set_part(
         self,
-        cap: OrganisationPolicy,
+        cap: Cap,
         bucket: _Bucket,
         part: CapPart,
         now: float,
@@ -501,15 +462,11 @@
         bucket.division = self._division
         bucket.level = min(bucket.level, self._capacity(cap, bucket))
 
-    def _capacity(self, cap: OrganisationPolicy, bucket: _Bucket) -> float:
-        return self._total_capacity(cap) * bucket.part.fraction
-
-    def _rate(self, cap: OrganisationPolicy, bucket: _Bucket) -> float:
-        return cap.rate * _overage_factor(self._bounds) * bucket.part.fraction
-
+    def _capacity(self, cap: Cap, bucket: _Bucket) -> float:
+        return cap.burst * bucket.part.fraction
 
-def _overage_factor(bounds: CapBounds) -> float:
-    return 1.0 + bounds.overage * USED_OVERAGE_FRACTION
+    def _rate(self, cap: Cap, bucket: _Bucket) -> float:
+        return cap.rate * bucket.part.fraction
 
 
 def _may_request(bucket: _Bucket, now: float) -> bool:
--- a/mustardshunt/caps/tests/test_shares.py
+++ b/mustardshunt/caps/tests/test_shares.py
@@ -6,7 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mustardshunt.caps import JOIN_SECONDS, CapBounds, CapShares
+from mustardshunt.caps import (
+    JOIN_SECONDS,
+    Cap,
+    CapBounds,
+    CapShares,
+    make_retry_caps,
+    make_usage_caps,
+)
 from mustardshunt.policy import OrganisationPolicy
 
 WINDOW_SECONDS = 5.0
@@ -25,11 +32,11 @@
 def make_share(
     name: str,
     data_centre_by_name: dict[str, str],
-    caps: dict[str, OrganisationPolicy],
+    caps: dict[str, Cap],
     starts_full: bool = True,
     now: float = 0.0,
 ) -> CapShares:
-    shares = CapShares(BOUNDS, starts_full)
+    shares = CapShares(starts_full)
     shares.set_nodes(name, data_centre_by_name)
     shares.set_caps(caps, now)
     return shares
@@ -37,7 +44,7 @@
 
 def make_nodes(count: int, *caps: OrganisationPolicy) -> dict[str, CapShares]:
     data_centre_by_name = make_names(count)
-    cap_by_name = {cap.name: cap for cap in caps}
+    cap_by_name = make_usage_caps({cap.name: cap for cap in caps}, BOUNDS)
     return {
         name: make_share(name, data_centre_by_name, cap_by_name)
         for name in data_centre_by_name
@@ -76,11 +83,13 @@
     return is_served
 
 
-def max_spent_in_a_window(times: list[float]) -> int:
+def max_spent_in_a_window(
+    times: list[float], window: float = WINDOW_SECONDS
+) -> int:
     max_spent = 0
     first = 0
     for last, time in enumerate(times):
-        while times[first] <= time - WINDOW_SECONDS:
+        while times[first] <= time - window:
             first += 1
         max_spent = max(max_spent, last - first + 1)
     return max_spent
@@ -102,6 +111,7 @@
     """
     rng = random.Random(seed)
     cap = OrganisationPolicy('o', None, rate, burst)
+    cap_by_name = make_usage_caps({'o': cap}, BOUNDS)
     nodes = make_nodes(count, cap)
     names = list(nodes)
     data_centre_by_name = make_names(count)
@@ -112,7 +122,7 @@
         name = names[min(int(rng.expovariate(0.3)), count - 1)]
         if rng.randrange(200) == 0:
             nodes[name] = make_share(
-                name, data_centre_by_name, {'o': cap}, False, now
+                name, data_centre_by_name, cap_by_name, False, now
             )
             continue
         if nodes[name].spend('o', now):
@@ -169,9 +179,11 @@
     working = [name for name in names if name not in lost]
     for name in lost:
         # Its share stays lost until its entry is removed.
-        nodes[name] = CapShares(BOUNDS, starts_full=False, usable_from=1e9)
+        nodes[name] = CapShares(starts_full=False, usable_from=1e9)
         nodes[name].set_nodes(name, make_names(195))
-        nodes[name].set_caps({cap.name: cap for cap in caps}, 0.0)
+        nodes[name].set_caps(
+            make_usage_caps({cap.name: cap for cap in caps}, BOUNDS), 0.0
+        )
     organisations = list(demand_by_name)
     weights = list(demand_by_name.values())
     refused = 0
@@ -240,9 +252,9 @@
 
     Each restart would otherwise allow another burst.
     """
-    shares = CapShares(BOUNDS, starts_full=False, usable_from=0.0)
+    shares = CapShares(starts_full=False, usable_from=0.0)
     shares.set_nodes('a', {'a': 'z'})
-    shares.set_caps({'o': OrganisationPolicy('o', None, 10.0, 10.0)}, 0.0)
+    shares.set_caps({'o': Cap(10.0, 10.0)}, 0.0)
     assert not shares.spend('o', 0.0)
     assert shares.spend('o', 0.2)
 
@@ -252,9 +264,9 @@
 
     All shares together would otherwise exceed the usage cap.
     """
-    shares = CapShares(BOUNDS, starts_full=True, usable_from=9.0)
+    shares = CapShares(starts_full=True, usable_from=9.0)
     shares.set_nodes('a', {'a': 'z'})
-    shares.set_caps({'o': OrganisationPolicy('o', None, 10.0, 10.0)}, 0.0)
+    shares.set_caps({'o': Cap(10.0, 10.0)}, 0.0)
     assert not shares.spend('o', 1.0)
     assert not shares.grant('o', 'b', 5, 1.0)
     # ``allow_spending`` is called when the other nodes already count the share
@@ -266,18 +278,18 @@
 
 def test_lowered_cap_removes_excess_tokens_at_once():
     """Tokens of an earlier, higher usage cap must not be spent."""
-    shares = CapShares(CapBounds(0.0, 0), starts_full=True)
+    shares = CapShares(starts_full=True)
     shares.set_nodes('a', {'a': 'z'})
-    shares.set_caps({'o': OrganisationPolicy('o', None, 10.0, 50.0)}, 0.0)
-    shares.set_caps({'o': OrganisationPolicy('o', None, 1.0, 2.0)}, 0.0)
+    shares.set_caps({'o': Cap(10.0, 50.0)}, 0.0)
+    shares.set_caps({'o': Cap(1.0, 2.0)}, 0.0)
     assert [shares.spend('o', 0.0) for _ in range(3)] == [True, True, False]
 
 
 def test_organisation_listed_again_does_not_get_a_new_burst():
     """An organisation must not get a new burst by being listed again."""
-    shares = CapShares(CapBounds(0.0, 0), starts_full=True)
+    shares = CapShares(starts_full=True)
     shares.set_nodes('a', {'a': 'z'})
-    caps = {'o': OrganisationPolicy('o', None, 1.0, 2.0)}
+    caps = {'o': Cap(1.0, 2.0)}
     shares.set_caps(caps, 0.0)
     assert shares.spend('o', 0.0)
     assert shares.spend('o', 0.0)
@@ -288,8 +300,37 @@
 
 def test_unlimited_organisation_is_never_refused():
     """Requests of an organisation without a usage cap must be admitted."""
-    shares = CapShares(BOUNDS, starts_full=False)
-    shares.set_caps({'o': OrganisationPolicy('o', None, 0.0, 0.0)}, 0.0)
+    shares = CapShares(starts_full=False)
+    organisation = OrganisationPolicy('o', None, 0.0, 0.0)
+    shares.set_caps(make_usage_caps({'o': organisation}, BOUNDS), 0.0)
     assert shares.spend('o', 0.0)
     seconds = shares.snapshot('o').seconds_until_token()
     assert seconds == pytest.approx(0.0)
+
+
+@settings(max_examples=20, deadline=None)
+@given(seed=st.integers(0, 2**32), count=st.integers(1, 200))
+def test_retries_of_all_nodes_stay_within_the_minimum(seed: int, count: int):
+    """Retries must fit into the minimum wherever the faults are.
+
+    A minimum that is divided over 195 nodes is below one retry at each.
+    """
+    rng = random.Random(seed)
+    minimum = 213
+    window = 10.0
+    caps = make_retry_caps(['s'], ['request', 'child'], minimum, window)
+    data_centre_by_name = make_names(count)
+    nodes = {
+        name: make_share(name, data_centre_by_name, caps)
+        for name in data_centre_by_name
+    }
+    faulty = rng.sample(list(nodes), max(1, count // 20))
+    spent: dict[str, list[float]] = {name: [] for name in caps}
+    for step in range(2000):
+        now = step * 0.01
+        for cap_name, times in spent.items():
+            if acquire(nodes, rng.choice(faulty), cap_name, now):
+                times.append(now)
+    for times in spent.values():
+        assert max_spent_in_a_window(times, window) * 22 <= minimum
+        assert len(times) >= 12
--- a/mustardshunt/load_balancing/__init__.py
+++ b/mustardshunt/load_balancing/__init__.py
@@ -6,7 +6,6 @@
 from mustardshunt.load_balancing._retry_throttle import (
     RetryKind,
     RetryThrottle,
-    RetryThrottleSettings,
 )
 from mustardshunt.load_balancing._round_robin import WeightedRoundRobin
 
@@ -17,6 +16,5 @@
     'MemberLoad',
     'RetryKind',
     'RetryThrottle',
-    'RetryThrottleSettings',
     'WeightedRoundRobin',
 ]
--- a/mustardshunt/load_balancing/_retry_throttle.py
+++ b/mustardshunt/load_balancing/_retry_throttle.py
@@ -25,33 +25,11 @@
     RetryKind.REQUEST: 0.4,
     RetryKind.CHILD_CALL: 0.15,
 })
-# The settings allow a minimum of retries even without requests. Each kind of
-# call may use this fraction of the minimum.
-MINIMUM_FACTOR: Final = 0.12
 # A token bucket can save at most the retries that the requests of this many
-# seconds allow, in addition to its part of the minimum.
+# seconds allow.
 SAVED_SECONDS: Final = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class RetryThrottleSettings:
-    """Bound on the retries of all nodes together at one service.
-
-    Parameters
-    ----------
-    ratio : float
-        Retries that are allowed for each request.
-    window : float
-        Seconds over which retries are counted.
-    minimum : int
-        Retries that are allowed in each window even without any requests.
-    """
-
-    ratio: float
-    window: float
-    minimum: int
-
-
 @dataclass(slots=True)
 class _Bucket:
     tokens: float
@@ -68,13 +46,12 @@
 
     Parameters
     ----------
-    settings : RetryThrottleSettings
-        Bound on the retries of all nodes together.
+    allowed_ratio : float
+        Retries that all nodes together may send for each request.
 
     Examples
     --------
-    >>> throttle = RetryThrottle(RetryThrottleSettings(0.2, 10.0, 48))
-    >>> throttle.set_node_count(48)
+    >>> throttle = RetryThrottle(allowed_ratio=0.2)
     >>> kind = RetryKind.REQUEST
     >>> throttle.spend('s', kind, now=0.0)
     False
@@ -84,23 +61,11 @@
     [True, False]
     """
 
-    def __init__(self, settings: RetryThrottleSettings) -> None:
-        self._settings = settings
-        self._min_capacity = 0.0
+    def __init__(self, allowed_ratio: float) -> None:
+        self._allowed_ratio = allowed_ratio
         self._bucket_by_service_and_kind: dict[
             tuple[str, RetryKind], _Bucket
         ] = {}
-        self.set_node_count(1)
-
-    def set_node_count(self, count: int) -> None:
-        """Set the number of nodes among which the minimum is divided.
-
-        The minimum is the number of retries that all nodes together may send
-        even without requests.
-        """
-        self._min_capacity = (
-            self._settings.minimum * MINIMUM_FACTOR / max(1, count)
-        )
 
     def deposit(self, service: str, kind: RetryKind, now: float) -> None:
         """Add tokens for retries.
@@ -118,10 +83,8 @@
         """
         bucket = self._refilled_bucket(service, kind, now)
         bucket.request_rate += 1.0 / SAVED_SECONDS
-        ratio = self._settings.ratio * RATIO_FACTOR_BY_KIND[kind]
-        capacity = (
-            self._min_capacity + ratio * bucket.request_rate * SAVED_SECONDS
-        )
+        ratio = self._allowed_ratio * RATIO_FACTOR_BY_KIND[kind]
+        capacity = ratio * bucket.request_rate * SAVED_SECONDS
         bucket.tokens = min(capacity, bucket.tokens + ratio)
 
     def spend(self, service: str, kind: RetryKind, now: float) -> bool:
@@ -156,13 +119,10 @@
     ) -> _Bucket:
         bucket = self._bucket_by_service_and_kind.get((service, kind))
         if bucket is None:
-            bucket = _Bucket(self._min_capacity, 0.0, now)
+            bucket = _Bucket(0.0, 0.0, now)
             self._bucket_by_service_and_kind[service, kind] = bucket
         elapsed = now - bucket.updated_at
         if elapsed > 0:
             bucket.updated_at = now
             bucket.request_rate *= max(0.0, 1.0 - elapsed / SAVED_SECONDS)
-            refill = self._min_capacity * elapsed / self._settings.window
-            if bucket.tokens < self._min_capacity:
-                bucket.tokens = min(self._min_capacity, bucket.tokens + refill)
         return bucket
--- a/mustardshunt/load_balancing/tests/test_load_balancing.py
+++ b/mustardshunt/load_balancing/tests/test_load_balancing.py
@@ -8,7 +8,6 @@
     Member,
     RetryKind,
     RetryThrottle,
-    RetryThrottleSettings,
     WeightedRoundRobin,
 )
 from mustardshunt.policy import RoutePolicy, WeightedService
@@ -118,8 +117,7 @@
     A retried request makes its child calls again, and each child call may be
     retried as well. Without a limit, the retries would multiply.
     """
-    throttle = RetryThrottle(RetryThrottleSettings(RATIO, 10.0, MINIMUM))
-    throttle.set_node_count(1)
+    throttle = RetryThrottle(RATIO)
     requests = 1000
     retries = dict.fromkeys(RetryKind, 0)
     for step in range(requests):
@@ -131,22 +129,3 @@
     worst_case = retries[RetryKind.REQUEST]
     worst_case += depth * retries[RetryKind.CHILD_CALL]
     assert worst_case <= RATIO * requests + MINIMUM
-
-
-def test_retry_minimum_is_divided_among_the_nodes():
-    """All nodes together must not retry more often than the minimum allows.
-
-    If each node used the whole minimum, 13 nodes would send 13 times as many
-    retries.
-    """
-    throttles = []
-    for _ in range(13):
-        throttle = RetryThrottle(RetryThrottleSettings(RATIO, 10.0, MINIMUM))
-        throttle.set_node_count(13)
-        throttles.append(throttle)
-    retry_count = 0
-    for throttle in throttles:
-        for step in range(100):
-            retry_count += throttle.spend('s', RetryKind.REQUEST, step * 0.1)
-            retry_count += throttle.spend('s', RetryKind.CHILD_CALL, step * 0.1)
-    assert retry_count <= MINIMUM
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -8,7 +8,6 @@
 from mustardshunt.load_balancing import (
     LoadBalancer,
     Member,
-    RetryThrottle,
     WeightedRoundRobin,
 )
 from mustardshunt.observability import EventLog
@@ -23,6 +22,8 @@
 from mustardshunt.sidecar._link_manager import LinkManager
 from mustardshunt.sidecar._ports import OperatorUpdate
 from mustardshunt.sidecar._rate_limiter import RateLimiter
+from mustardshunt.sidecar._retry_budget import make_node_caps
+from mustardshunt.sidecar._settings import BoundsSection
 from mustardshunt.upstream import BackendServerStatus, ServerPhase
 
 
@@ -38,10 +39,10 @@
         Members and their load.
     split : WeightedRoundRobin
         Divides the requests of a route among services.
-    retries : RetryThrottle
-        Bound on the ratio of retries to requests.
+    bounds : BoundsSection
+        Limits that hold for all nodes together.
     caps : CapShares
-        This node's shares of the rates of organisations.
+        This node's shares of the rates of organisations and of the retries.
     callee : Callee
         Admits calls to the backend server beside this node.
     """
@@ -49,7 +50,7 @@
     registry: PolicyRegistry
     balancer: LoadBalancer
     split: WeightedRoundRobin
-    retries: RetryThrottle
+    bounds: BoundsSection
     caps: CapShares
     callee: Callee
 
@@ -141,7 +142,6 @@
         """Replace the members that this node knows by the members given."""
         components = self._components
         components.balancer.set_members(by_name.values())
-        components.retries.set_node_count(len(by_name))
         components.caps.set_nodes(
             self._own.name,
             {name: member.data_centre for name, member in by_name.items()},
@@ -218,7 +218,7 @@
         now = self._clock.now()
         self._document = document
         components.split.clear()
-        components.caps.set_caps(policy.organisation_by_name, now)
+        components.caps.set_caps(make_node_caps(policy, components.bounds), now)
         gate = components.callee.gate
         gate.set_service(policy.service_by_name.get(self._own.service))
         active_policy = components.registry.active
--- a/mustardshunt/sidecar/_ingress.py
+++ b/mustardshunt/sidecar/_ingress.py
@@ -9,7 +9,6 @@
     LoadBalancer,
     MemberLoad,
     RetryKind,
-    RetryThrottle,
     WeightedRoundRobin,
 )
 from mustardshunt.observability import EventLog
@@ -43,6 +42,7 @@
     priority_rank_of,
 )
 from mustardshunt.sidecar._request_log import MS_PER_SECOND, RequestLog
+from mustardshunt.sidecar._retry_budget import RetryBudget
 
 # Longest wait of a call in an admission queue, as a fraction of the latency
 # objective. A refusal after a longer wait would leave no time for another
@@ -101,8 +101,8 @@
         Chooses the member for each attempt.
     split : WeightedRoundRobin
         Chooses the service of a route by the weights of the policy.
-    retry_throttle : RetryThrottle
-        Bounds the ratio of retries to requests.
+    retry_budget : RetryBudget
+        Bounds the retries to each service.
     rate_limiter : RateLimiter
         Bounds the request rates of organisations.
     sender : Sender
@@ -125,7 +125,7 @@
         registry: PolicyRegistry,
         balancer: LoadBalancer,
         split: WeightedRoundRobin,
-        retry_throttle: RetryThrottle,
+        retry_budget: RetryBudget,
         rate_limiter: RateLimiter,
         sender: Sender,
         links: ServiceLinks,
@@ -138,7 +138,7 @@
         self._registry = registry
         self._balancer = balancer
         self._split = split
-        self._retry_throttle = retry_throttle
+        self._retry_budget = retry_budget
         self._rate_limiter = rate_limiter
         self._sender = sender
         self._links = links
@@ -242,12 +242,8 @@
     async def _serve(self, context: RequestContext) -> HttpResponse:
         progress = Progress(tried=set())
         await self._acquire_token(context)
-        self._retry_throttle.deposit(
-            context.service,
-            RetryKind.CHILD_CALL
-            if context.is_child_call
-            else RetryKind.REQUEST,
-            context.started_at,
+        self._retry_budget.record_request(
+            context.service, _retry_kind_of(context)
         )
         try:
             answer = await self._try_members(context, progress)
@@ -288,12 +284,12 @@
             load = self._choose(context, progress)
             result = await self._send(context, load)
             if isinstance(result, Answered):
-                if not self._may_retry_answer(context, progress, result):
+                if not await self._may_retry_answer(context, progress, result):
                     return result
             elif isinstance(result, NotRun):
-                self._record_not_run(context, progress, result)
+                await self._record_not_run(context, progress, result)
             else:
-                self._record_lost(context, progress, result)
+                await self._record_lost(context, progress, result)
 
     def _choose(
         self, context: RequestContext, progress: Progress
@@ -396,7 +392,7 @@
             now,
         )
 
-    def _may_retry_answer(
+    async def _may_retry_answer(
         self,
         context: RequestContext,
         progress: Progress,
@@ -410,9 +406,9 @@
             return False
         progress.runs += 1
         progress.last_answer = answer
-        return self._may_retry(context, progress, 'failed')
+        return await self._may_retry(context, progress, 'failed')
 
-    def _record_not_run(
+    async def _record_not_run(
         self,
         context: RequestContext,
         progress: Progress,
@@ -427,11 +423,10 @@
             return
         # The backend server itself rejected the call, so another attempt
         # counts as a retry against the service's retry throttle.
-        now = self._clock.now()
-        if not self._spend_retry(context, now):
+        if not await self._spend_retry(context):
             raise unavailable(reason, context.route.latency_objective)
 
-    def _record_lost(
+    async def _record_lost(
         self,
         context: RequestContext,
         progress: Progress,
@@ -439,11 +434,11 @@
     ) -> None:
         progress.runs += 1
         self._request_log.log_lost(context, progress, result)
-        if self._may_retry(context, progress, result.reason):
+        if await self._may_retry(context, progress, result.reason):
             return
         raise RefusedError(Reason.BACKEND_SERVER_LOST)
 
-    def _may_retry(
+    async def _may_retry(
         self,
         context: RequestContext,
         progress: Progress,
@@ -456,16 +451,17 @@
         other_member = self._balancer.choose(
             context.service, progress.tried, now
         )
-        if other_member is None or not self._spend_retry(context, now):
+        if other_member is None or not await self._spend_retry(context):
             return False
         self._request_log.log_retry(context, progress, cause)
         return True
 
-    def _spend_retry(self, context: RequestContext, now: float) -> bool:
-        kind = RetryKind.REQUEST
-        if context.is_child_call:
-            kind = RetryKind.CHILD_CALL
-        return self._retry_throttle.spend(context.service, kind, now)
+    async def _spend_retry(self, context: RequestContext) -> bool:
+        return await self._retry_budget.acquire(
+            context.service,
+            _retry_kind_of(context),
+            context.route.latency_objective,
+        )
 
     def _refuse(
         self,
@@ -497,3 +493,9 @@
             outcome,
             elapsed,
         )
+
+
+def _retry_kind_of(context: RequestContext) -> RetryKind:
+    if context.is_child_call:
+        return RetryKind.CHILD_CALL
+    return RetryKind.REQUEST
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -7,13 +7,12 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from mustardshunt.caps import JOIN_SECONDS, CapBounds, CapShares
+from mustardshunt.caps import JOIN_SECONDS, CapShares
 from mustardshunt.load_balancing import (
     LinkPlan,
     LoadBalancer,
     Member,
     RetryThrottle,
-    RetryThrottleSettings,
     WeightedRoundRobin,
 )
 from mustardshunt.membership import FollowerRole
@@ -44,6 +43,7 @@
     OperatorSource,
 )
 from mustardshunt.sidecar._rate_limiter import RateLimiter
+from mustardshunt.sidecar._retry_budget import RetryBudget
 from mustardshunt.sidecar._sender import CallSender, LocalSession
 from mustardshunt.sidecar._settings import (
     SettingsFile,
@@ -154,10 +154,8 @@
             node.name, node.data_centre, random_source
         )
         split = WeightedRoundRobin(random_source)
-        retry_throttle = RetryThrottle(_retry_settings(settings))
         join_seconds = 0.0 if node.first_start else JOIN_SECONDS
         caps = CapShares(
-            CapBounds(settings.bounds.cap_overage, settings.bounds.cap_slack),
             starts_full=node.first_start,
             usable_from=self._clock.now() + join_seconds,
         )
@@ -181,7 +179,7 @@
                 self._registry,
                 self._balancer,
                 split,
-                retry_throttle,
+                settings.bounds,
                 caps,
                 self._callee,
             ),
@@ -233,7 +231,11 @@
             self._registry,
             self._balancer,
             split,
-            retry_throttle,
+            RetryBudget(
+                RetryThrottle(settings.bounds.retry_ratio),
+                rate_limiter,
+                self._clock,
+            ),
             rate_limiter,
             CallSender(node.name, local, self._links),
             self._links,
@@ -503,15 +505,6 @@
     return [name for name, is_same in sections.items() if not is_same]
 
 
-def _retry_settings(settings: SidecarSettings) -> RetryThrottleSettings:
-    bounds = settings.bounds
-    return RetryThrottleSettings(
-        bounds.retry_ratio,
-        bounds.retry_window,
-        bounds.retry_minimum,
-    )
-
-
 async def run_sidecar(
     settings: SidecarSettings,
     adapter: PlatformAdapter,
