--- a/mustardshunt/standin/tests/test_trails.py
+++ b/mustardshunt/standin/tests/test_trails.py
@@ -54,7 +54,7 @@
     node = await deployment.add_node('a')
     other = await deployment.add_node('b')
     await deployment.wait_until_served(node)
-    await wait_until(lambda: len(node.sidecar._links.open_members()) == 1)
+    await wait_until(lambda: node.sidecar._links.is_open('b'))
     await other.kill()
     deployment.store.is_down = True
     deployment.store.put('op', 'config', make_policy(3, tenants=tenants))
@@ -67,7 +67,7 @@
     lines = lines_by_kind(node, f'q{deployment.requests}')
     assert lines['request-refused']['reason'] == 'rate-exceeded'
     share = lines['cap-reached']
-    assert (share['nodes'], share['policy']) == (2, 2)
+    assert (share['holders'], share['policy']) == (2, 2)
     assert share['tokens'] < 1
     assert share['depth'] < 8
 
