Leave out malformed values of other writers instead of failing

Cause: a row, a policy document or a heartbeat of another writer may hold anything. JSON nested 1,000 levels deep raised RecursionError, an integer of 400 digits OverflowError, and NaN or infinite times passed all checks. The first two ended the task that reads the store and with it the process. A name of an instance or organisation with a line break could add a header to each call.

Change: JSON of other writers is parsed in one place, which raises MalformedError; numbers are finite and at most 2**53; names that are sent in headers are printable.

--- a/mustardshunt/platform/_header_codec.py
+++ b/mustardshunt/platform/_header_codec.py
@@ -1,5 +1,6 @@
 """Codec of the platform's HTTP headers."""
 
+import math
 from typing import Final
 
 from mustardshunt.platform._names import (
@@ -121,6 +122,9 @@
     if text is None:
         return None
     try:
-        return float(text) / _MS_PER_SECOND
+        milliseconds = float(text)
     except ValueError:
         return None
+    if not math.isfinite(milliseconds):
+        return None
+    return milliseconds / _MS_PER_SECOND
--- a/mustardshunt/platform/_heartbeat_codec.py
+++ b/mustardshunt/platform/_heartbeat_codec.py
@@ -3,7 +3,6 @@
 It also covers deregistrations, by which a backend server leaves.
 """
 
-import json
 from typing import Any, Final
 from urllib.parse import unquote
 
@@ -12,6 +11,7 @@
 from mustardshunt.platform._names import INSTANCES_PATH
 from mustardshunt.platform._values import (
     MalformedError,
+    parse_json,
     read_integer,
     read_json_object,
     read_seconds,
@@ -53,8 +53,8 @@
         if instance is None:
             return None
         try:
-            return self._decode_heartbeat(instance, json.loads(request.body))
-        except ValueError as error:
+            return self._decode_heartbeat(instance, parse_json(request.body))
+        except MalformedError as error:
             logger.bind(instance=instance, error=str(error)).warning(
                 'malformed heartbeat rejected',
             )
@@ -109,4 +109,5 @@
     if request.method != method or not path.startswith(INSTANCES_PATH):
         return None
     name = unquote(path.removeprefix(INSTANCES_PATH))
-    return name or None
+    # The name is sent in a header of each call to the backend server.
+    return name if name and name.isprintable() else None
--- a/mustardshunt/platform/_policy.py
+++ b/mustardshunt/platform/_policy.py
@@ -1,15 +1,16 @@
 """Decoder of the policy document that operators write."""
 
-import json
 from typing import Any, Final
 
 from loguru import logger
 
 from mustardshunt.platform._values import (
     MalformedError,
+    parse_json,
     read_integer,
     read_json_object,
     read_number,
+    read_printable,
     read_seconds,
     read_text,
 )
@@ -43,9 +44,9 @@
         missing or not an integer of 0 or more.
     """
     try:
-        table = read_json_object(json.loads(document))
+        table = read_json_object(parse_json(document))
         version = read_integer(table, 'version', -1)
-    except ValueError as error:
+    except MalformedError as error:
         logger.bind(error=str(error)).warning(
             'malformed policy document ignored'
         )
@@ -139,7 +140,7 @@
     if 'priority' in entry:
         priority = read_integer(entry, 'priority', 0)
     return OrganisationPolicy(
-        name=name,
+        name=read_printable(name, 'tenant'),
         priority=priority,
         rate=read_number(entry, 'rate_per_s', 0.0),
         burst=read_number(entry, 'burst', 0.0),
--- a/mustardshunt/platform/_sources.py
+++ b/mustardshunt/platform/_sources.py
@@ -21,6 +21,8 @@
 from mustardshunt.platform._policy import decode_policy
 from mustardshunt.platform._store import Row, StoreClient
 from mustardshunt.platform._values import (
+    MalformedError,
+    parse_json,
     read_integer,
     read_json_object,
     read_text,
@@ -220,7 +222,7 @@
 
 def _decode_member(row: Row) -> Member | None:
     try:
-        entry = read_json_object(json.loads(row.content))
+        entry = read_json_object(parse_json(row.content))
         return Member(
             row.key,
             read_text(entry, 'run'),
@@ -231,7 +233,7 @@
                 read_integer(entry, 'port', 0),
             ),
         )
-    except ValueError as error:
+    except MalformedError as error:
         # A malformed row is skipped, so that it does not hide the other nodes.
         logger.bind(entry=row.key, error=str(error)).warning(
             'malformed row of a node left out',
--- a/mustardshunt/platform/_store.py
+++ b/mustardshunt/platform/_store.py
@@ -11,6 +11,7 @@
 from mustardshunt.base import VmAddress
 from mustardshunt.platform._values import (
     MalformedError,
+    parse_json,
     read_integer,
     read_json_object,
     read_text,
@@ -275,7 +276,7 @@
         if answer.status not in _SUCCESS and not is_decided:
             raise PlatformError(f'{name}: status {answer.status}')
         try:
-            return answer.status, read_json_object(json.loads(answer.body))
+            return answer.status, read_json_object(parse_json(answer.body))
         except ValueError as error:
             raise PlatformError(f'{name}: malformed answer: {error}') from error
 
--- a/mustardshunt/platform/_values.py
+++ b/mustardshunt/platform/_values.py
@@ -1,7 +1,11 @@
 """Functions that read the platform's JSON values and check them."""
 
+import json
 from typing import Any, Final
 
+# Largest number that is accepted. Larger integers cannot be converted to float
+# exactly, or at all.
+MAX_NUMBER: Final = 2**53
 _SECONDS_BY_UNIT: Final = {'ms': 0.001, 's': 1.0}
 
 
@@ -9,6 +13,20 @@
     """A value does not have the form that the platform prescribes."""
 
 
+def parse_json(text: str | bytes) -> Any:
+    """Parse JSON text of another writer.
+
+    Raises
+    ------
+    MalformedError
+        The text is not UTF-8, is not JSON, or is nested too deeply.
+    """
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise MalformedError(f'expected JSON: {error}') from error
+
+
 def read_json_object(found: Any) -> dict[str, Any]:
     """Return a decoded JSON value that must be an object.
 
@@ -38,8 +56,24 @@
     return found
 
 
+def read_printable(found: str, name: str) -> str:
+    """Return a text that is sent in a header.
+
+    Raises
+    ------
+    MalformedError
+        The text has control characters, which could add a header line, or
+        characters that cannot be encoded.
+    """
+    if not found.isprintable():
+        raise MalformedError(
+            f'{name}: expected printable characters, found {found!r}'
+        )
+    return found
+
+
 def read_integer(table: dict[str, Any], name: str, default: int) -> int:
-    """Return a field that must hold an integer of 0 or more.
+    """Return a field that must hold an integer of 0 to ``MAX_NUMBER``.
 
     Raises
     ------
@@ -47,15 +81,14 @@
         The field holds something else.
     """
     found = table.get(name, default)
-    if isinstance(found, bool) or not isinstance(found, int) or found < 0:
-        raise MalformedError(
-            f'{name}: expected an integer of 0 or more, found {found!r}',
-        )
+    if isinstance(found, bool) or not isinstance(found, int):
+        raise MalformedError(f'{name}: expected an integer, found {found!r}')
+    _check_range(found, name)
     return found
 
 
 def read_number(table: dict[str, Any], name: str, default: float) -> float:
-    """Return a field that must hold a number of 0 or more.
+    """Return a field that must hold a number of 0 to ``MAX_NUMBER``.
 
     Raises
     ------
@@ -65,8 +98,7 @@
     found = table.get(name, default)
     if isinstance(found, bool) or not isinstance(found, int | float):
         raise MalformedError(f'{name}: expected a number, found {found!r}')
-    if found < 0:
-        raise MalformedError(f'{name}: expected 0 or more, found {found!r}')
+    _check_range(found, name)
     return float(found)
 
 
@@ -91,7 +123,7 @@
     ------
     MalformedError
         The field does not end in ``ms`` or ``s``, or the text before the unit
-        is not a number of 0 or more.
+        is not a number of 0 to ``MAX_NUMBER``.
 
     Examples
     --------
@@ -117,6 +149,13 @@
         raise MalformedError(
             f'{name}: expected a number before the unit, found {text!r}',
         ) from error
-    if number < 0:
-        raise MalformedError(f'{name}: expected 0 or more, found {number}')
+    _check_range(number, name)
     return number
+
+
+def _check_range(number: float, name: str) -> None:
+    # NaN is in no range, so the comparison also rejects it.
+    if not 0 <= number <= MAX_NUMBER:
+        raise MalformedError(
+            f'{name}: expected a number of 0 to {MAX_NUMBER}, found {number!r}'
+        )
