Restart a background task after an unexpected error

Cause: the sidecar stopped when a background task failed, so one unexpected error in reading the store, the members or in a periodic check took the whole process down. A frame of a peer that could not be handled ended the task of its link, and the peer got no calls until the next restart. A settings file that is not UTF-8 failed the periodic check in the same way.

Change: a failed background task is logged as duty-failed and starts again after 0.5 s; a frame that cannot be handled ends only its connection; a settings file that is not UTF-8 is an error of the settings, and the node keeps the old ones.

--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import signal
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -71,6 +72,8 @@
 # Time reserved for the exit of the process, at the end of the grace time. The
 # process is killed when the grace time is over.
 EXIT_RESERVE_SECONDS: Final = 0.3
+# Delay before a background task that has failed is started again.
+RESTART_DELAY_SECONDS: Final = 0.5
 _STOP_CHECK_SECONDS: Final = 0.05
 
 
@@ -303,30 +306,32 @@
         await self._metrics_server.listen(listen.metrics)
 
     def _start_background_tasks(self) -> None:
-        coroutines = (
-            ('operators', self._operator_sync.run()),
-            ('operator refreshes', self._operator_sync.run_refreshes()),
-            ('members', self._member_sync.run()),
-            ('registration', self._member_sync.run_registration()),
-            ('tick', self._run_ticks()),
-        )
-        for name, coroutine in coroutines:
-            task = asyncio.create_task(coroutine, name=name)
-            task.add_done_callback(self._handle_task_end)
-            self._tasks.append(task)
+        for name, run in (
+            ('operators', self._operator_sync.run),
+            ('operator refreshes', self._operator_sync.run_refreshes),
+            ('members', self._member_sync.run),
+            ('registration', self._member_sync.run_registration),
+            ('tick', self._run_ticks),
+        ):
+            self._tasks.append(
+                asyncio.create_task(self._run_duty(name, run), name=name)
+            )
 
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        # A background task runs until it is cancelled. If a task fails, the
-        # node stops, because the data that the task updates would go stale.
-        self._log.record(
-            'duty-failed',
-            self._clock.now(),
-            duty=task.get_name(),
-            error=repr(task.exception()),
-        )
-        self._stop_requested.set()
+    async def _run_duty(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a background task; start it again after an unexpected error."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._log.record(
+                    'duty-failed',
+                    self._clock.now(),
+                    duty=name,
+                    error=repr(error),
+                )
+            await asyncio.sleep(RESTART_DELAY_SECONDS)
 
     async def _run_ticks(self) -> None:
         checked_at = 0.0
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -270,6 +270,15 @@
                 peer=self.member.name,
                 error=error.message,
             )
+        except Exception as error:
+            # One frame that cannot be handled must not end the task, which
+            # connects again.
+            self._log.record(
+                'link-invalid',
+                self._loop.time(),
+                peer=self.member.name,
+                error=repr(error),
+            )
 
     def _handle(self, frame: Frame, stream: FrameStream) -> None:
         if isinstance(frame, Answered | NotRun | AnswerLost):
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -271,6 +271,11 @@
         except FrameError as error:
             now = asyncio.get_running_loop().time()
             self._log.record('link-invalid', now, error=error.message)
+        except Exception as error:
+            # One frame that cannot be handled ends its link, which the peer
+            # opens again.
+            now = asyncio.get_running_loop().time()
+            self._log.record('link-invalid', now, error=repr(error))
         finally:
             stream.abort()
             self._streams.discard(stream)
--- a/mustardshunt/sidecar/_settings.py
+++ b/mustardshunt/sidecar/_settings.py
@@ -238,7 +238,13 @@
             The file is invalid.
         """
         self._version = self._read_version()
-        text = self._path.read_text(encoding='utf-8')
+        try:
+            text = self._path.read_text(encoding='utf-8')
+        except UnicodeDecodeError as error:
+            found = f'an invalid byte at offset {error.start}'
+            raise SidecarSettingsError([
+                ValidationIssue(str(self._path), '', found, 'UTF-8 text')
+            ]) from error
         return parse_sidecar_settings(text, str(self._path))
 
     def has_changed(self) -> bool:
--- a/mustardshunt/sidecar/tests/test_peer_link.py
+++ b/mustardshunt/sidecar/tests/test_peer_link.py
@@ -1,6 +1,7 @@
 """Tests of when a link counts as silent, and of entries that change."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -111,3 +112,30 @@
     link.cancel(1)
     pool.check(now + 20.0)
     assert pool.find('b') is None
+
+
+class FramesOfPeer(FakeStream):
+    """Yields one frame, then ends like a closed connection."""
+
+    def __init__(self, frame: object) -> None:
+        super().__init__()
+        self._frame = frame
+
+    async def frames(self) -> AsyncIterator[object]:
+        yield self._frame
+
+
+class FailingEvents(Events):
+    def peer_status(self, name: str, update: BackendServerStatusUpdate) -> None:
+        raise ValueError(f'{update.phase!r} is not a valid ServerPhase')
+
+
+async def test_frame_that_cannot_be_handled_does_not_end_the_link():
+    """The task of a link must go on, so that it connects to the peer again.
+
+    An exception would end the task, and the peer would get no calls until
+    this node is restarted.
+    """
+    link = make_link(FailingEvents())
+    stream = FramesOfPeer(replace(UPDATE, phase='unheard-of'))
+    await link._read(stream)
--- a/mustardshunt/sidecar/tests/test_settings.py
+++ b/mustardshunt/sidecar/tests/test_settings.py
@@ -73,6 +73,14 @@
         parse_sidecar_settings(text, 'a.ini')
 
 
+def test_file_that_is_not_utf8_is_an_error_of_the_settings(tmp_path: Path):
+    """A node that reads such a file while it runs must keep its settings."""
+    path = tmp_path / 'node.ini'
+    path.write_bytes(fill_template().encode() + b'\xff\xfe')
+    with pytest.raises(SidecarSettingsError, match='UTF-8'):
+        SettingsFile(path).read()
+
+
 def test_change_of_the_file_is_reported_once(tmp_path: Path):
     """Each change of the settings file must be reported exactly once.
 
