--- a/mustardshunt/platform/tests/test_fuzz.py
+++ b/mustardshunt/platform/tests/test_fuzz.py
@@ -54,7 +54,7 @@
     elif isinstance(found, list):
         items = list(enumerate(found))
     for key, inner in items:
-        paths += paths_of(inner, (*path, key))
+        paths.extend(paths_of(inner, (*path, key)))
     return paths
 
 
--- a/mustardshunt/standin/tests/test_robustness.py
+++ b/mustardshunt/standin/tests/test_robustness.py
@@ -75,7 +75,7 @@
 
 
 def mutate(content: bytes, rng: random.Random) -> bytes:
-    changed = bytearray(content)
+    changed = content
     for _ in range(rng.randrange(1, 6)):
         position = rng.randrange(len(changed) + 1)
         piece = rng.choice([
@@ -87,8 +87,8 @@
             b'HTTP/1.1 200 OK\r\n\r\n',
         ])
         end = position + rng.randrange(4)
-        changed[position:end] = piece
-    return bytes(changed)
+        changed = changed[:position] + piece + changed[end:]
+    return changed
 
 
 def make_frames(rng: random.Random) -> bytes:
