Refuse new requests late in a planned stop instead of cutting them off

Cause: a stopping node served new requests for 2.6 s whatever its grace time was, and then closed the listening socket. With a grace time of 3 s, 0.1 s was left for the requests that it had accepted last; they reached a backend server and lost their answer. Closing the socket resets connections that wait to be accepted.

Change: new requests are served for half of the grace time at most; after that they get 503, which is true as they were not passed on, until the requests in progress are answered. The listening socket closes when the process ends.

Measured: nine stops under load (entry node, callee, follower of the store; calls of 0, 0.05 and 0.4 s).

--- a/mustardshunt/relay/tests/test_backend_pool.py
+++ b/mustardshunt/relay/tests/test_backend_pool.py
@@ -130,6 +130,39 @@
     assert outcome == BackendFailure(kind, has_begun=True)
 
 
+UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('answer', 'end'),
+    [
+        (HEAD + b'abcd', None),
+        (HEAD + b'abcd', RESET),
+        (CHUNKED_HEAD + b'2\r\nab\r\n2;x=y\r\ncd\r\n0\r\n\r\n', None),
+        (CHUNKED_HEAD + b'2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n', RESET),
+        (UNFRAMED_HEAD + b'abcd', RESET),
+        (UNFRAMED_HEAD, None),
+    ],
+)
+async def test_answer_cut_at_any_byte_is_never_complete(
+    answer: bytes, end: object
+):
+    """An answer that breaks off halfway must not reach the caller as whole.
+
+    The call may have run, so it is not reported as not run either.
+    """
+    async with asyncio.TaskGroup() as group:
+        tasks = [
+            group.create_task(exchange(answer[:length], end))
+            for length in range(1, len(answer))
+        ]
+    for task in tasks:
+        outcome, pool = task.result()
+        assert isinstance(outcome, BackendFailure)
+        assert outcome.has_begun
+        assert not pool.idle
+
+
 async def test_answer_without_length_ends_at_end_of_stream():
     # An answer may have no length, so that only the end of the connection marks
     # its end. Such an answer must not be lost.
--- a/mustardshunt/sidecar/_lifecycle.py
+++ b/mustardshunt/sidecar/_lifecycle.py
@@ -19,7 +19,7 @@
 
     A starting sidecar has no policy or no list of members yet. A draining
     sidecar still serves its callers, which have two seconds to notice that
-    the sidecar is not ready. A leaving sidecar accepts no new connections.
+    the sidecar is not ready. A leaving sidecar refuses new requests.
 
     Examples
     --------
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -66,9 +66,12 @@
 # Interval between checks of the settings file. The file may change without a
 # SIGHUP signal to the node.
 SETTINGS_CHECK_INTERVAL_SECONDS: Final = 1.0
-# Time for which a stopping node still accepts connections. Callers notice the
+# Time for which a stopping node still serves new requests. Callers notice the
 # stop within two readiness checks, which are a second apart.
 DRAIN_SECONDS: Final = 2.6
+# Largest part of the grace time for which new requests are served. The rest is
+# left for requests that are being served then.
+DRAIN_GRACE_FRACTION: Final = 0.5
 # Time reserved for the exit of the process, at the end of the grace time. The
 # process is killed when the grace time is over.
 EXIT_RESERVE_SECONDS: Final = 0.3
@@ -376,15 +379,13 @@
             ServerPhase.GONE,
             ServerPhase.DRAINING,
         }
-        exit_deadline = (
-            requested_at + self._settings.bounds.grace - EXIT_RESERVE_SECONDS
-        )
-        while self._clock.now() < min(
-            requested_at + DRAIN_SECONDS, exit_deadline
-        ):
-            await asyncio.sleep(_STOP_CHECK_SECONDS)
+        grace = self._settings.bounds.grace
+        exit_deadline = requested_at + grace - EXIT_RESERVE_SECONDS
+        await asyncio.sleep(min(DRAIN_SECONDS, grace * DRAIN_GRACE_FRACTION))
+        # New requests get 503 from here on. The listening socket stays open:
+        # closing it would reset the connections that wait to be accepted.
         self._lifecycle.leave()
-        self._callers.stop_accepting()
+        self._ingress.is_stopped = True
         self._callers.close_idle()
         while self._clock.now() < exit_deadline:
             if (
--- /dev/null
+++ b/mustardshunt/standin/tests/test_stop_under_load.py
@@ -0,0 +1,128 @@
+"""Tests of planned stops while callers send requests without a pause."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import pytest
+import pytest_asyncio
+
+from mustardshunt.base import VmAddress
+from mustardshunt.standin.tests.deployment import (
+    Deployment,
+    SidecarNode,
+    start_deployment,
+)
+from mustardshunt.standin.tests.test_pipelining import PipeliningCaller
+
+CONNECTIONS = 12
+
+
+@pytest_asyncio.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    deployment = await start_deployment()
+    try:
+        yield deployment
+    finally:
+        await deployment.stop()
+
+
+@dataclass
+class Tally:
+    """Results of all requests, by request id."""
+
+    status_by_id: dict[str, int] = field(default_factory=dict)
+    cut_off_ids: list[str] = field(default_factory=list)
+    sent: int = 0
+
+
+async def call_until(
+    done: asyncio.Event,
+    address: VmAddress,
+    number: int,
+    is_order: bool,
+    tally: Tally,
+) -> None:
+    """Send requests on kept connections; open a new one when it is closed."""
+    method, path = ('POST', '/order/x') if is_order else ('GET', '/read/x')
+    while not done.is_set():
+        try:
+            streams = await asyncio.open_connection(address.host, address.port)
+        except ConnectionError:
+            # A node that has stopped accepts no connections.
+            return
+        caller = PipeliningCaller(*streams)
+        should_close = False
+        while not should_close and not done.is_set():
+            tally.sent += 1
+            request_id = f'{number}-{tally.sent}'
+            try:
+                caller.send(request_id, path, method)
+                status, _, should_close = await caller.read_answer()
+            except (ConnectionError, asyncio.IncompleteReadError):
+                tally.cut_off_ids.append(request_id)
+                break
+            tally.status_by_id[request_id] = status
+        caller.writer.transport.abort()
+
+
+async def stop_while_called(
+    deployment: Deployment, stopped: SidecarNode, called: SidecarNode
+) -> Tally:
+    tally = Tally()
+    done = asyncio.Event()
+    async with asyncio.TaskGroup() as group:
+        for number in range(CONNECTIONS):
+            group.create_task(
+                call_until(
+                    done, called.caller_address, number, number % 2 == 0, tally
+                )
+            )
+        await asyncio.sleep(0.5)
+        stopped.sidecar.request_stop()
+        await stopped.task
+        await asyncio.sleep(0.5)
+        done.set()
+    return tally
+
+
+@pytest.mark.parametrize('seconds', [0.0, 0.05, 0.4])
+@pytest.mark.parametrize('role', ['entry', 'callee', 'follower'])
+async def test_planned_stop_under_load_cuts_off_no_request(
+    deployment: Deployment, role: str, seconds: float
+):
+    """No request that reached a backend server may lose its answer.
+
+    A request that its node has not read may end with its connection: its
+    caller sends it again. Everything else is answered, and an order that was
+    refused has not run.
+    """
+    first = await deployment.add_node('a')
+    other = await deployment.add_node('b')
+    await deployment.wait_until_served(first)
+    await deployment.wait_until_served(other)
+    for server in deployment.servers:
+        server.behaviour.service_time = seconds
+        server.received_requests.clear()
+    followers = [
+        node for node in (first, other) if node.sidecar._relay._gate.is_open
+    ]
+    stopped = {'entry': first, 'callee': other, 'follower': followers[0]}[role]
+    if role == 'callee':
+        deployment.servers[1].state = 'draining'
+    tally = await stop_while_called(deployment, stopped, first)
+    run_ids = {
+        request.request_id
+        for server in deployment.servers
+        for request in server.received_requests
+    }
+    assert tally.status_by_id
+    assert not run_ids & set(tally.cut_off_ids)
+    refused = {
+        request_id
+        for request_id, status in tally.status_by_id.items()
+        if status in {429, 503}
+    }
+    assert not refused & run_ids
+    assert set(tally.status_by_id.values()) <= {200, 429, 503}
+    assert list(tally.status_by_id.values()).count(200) > CONNECTIONS
