--- a/mustardshunt/load_balancing/_link_plan.py
+++ b/mustardshunt/load_balancing/_link_plan.py
@@ -33,6 +33,8 @@
         Name of this node.
     data_centre : str
         Data centre of this node.
+    size : int, default=SUBSET_SIZE
+        Members of one service to which links are kept.
 
     Examples
     --------
@@ -49,9 +51,13 @@
     ['a', 'b', 'c']
     """
 
-    def __init__(self, name: str, data_centre: str) -> None:
+    def __init__(
+        self, name: str, data_centre: str, size: int = SUBSET_SIZE
+    ) -> None:
         self._name = name
         self._data_centre = data_centre
+        self._size = size
+        self._local_size = size * LOCAL_SUBSET_SIZE // SUBSET_SIZE
         self._member_by_name: Mapping[str, Member] = {}
         self._ring_by_service: dict[str, list[Member]] = {}
         self._local_rank = 0.0
@@ -148,10 +154,10 @@
             else:
                 remote.append(member.name)
         usable_local, names = self._window(
-            local, self._local_rank, LOCAL_SUBSET_SIZE
+            local, self._local_rank, self._local_size
         )
         _, remote_names = self._window(
-            remote, self._global_rank, SUBSET_SIZE - usable_local
+            remote, self._global_rank, self._size - usable_local
         )
         return names + remote_names
 
