Ask another holder for tokens when one is silent

Cause: a request without a token waited for at most 0.1 s, 0.036 s for a latency objective of 0.3 s, and a holder that did not reply was given up after 0.25 s; so one silent or busy holder refused all requests of its organisations. A holder that has just joined refused them for 1.5 s, though others had tokens: its log shows 4.2 tokens of 4.2 with each refusal.

Change: a token request counts as lost after 0.05 s, and the next holder is asked; a request waits for 0.4 of its latency objective, 0.25 s at most; a late reply ends the pause in which a holder is not asked. A joining holder spends granted tokens beside its own share, which stays locked.

--- a/mustardshunt/caps/__init__.py
+++ b/mustardshunt/caps/__init__.py
@@ -8,10 +8,15 @@
     retry_cap_name,
 )
 from mustardshunt.caps._shares import JOIN_SECONDS, CapShares
-from mustardshunt.caps._tokens import ShareView, TokenRequest
+from mustardshunt.caps._tokens import (
+    REQUEST_TIMEOUT_SECONDS,
+    ShareView,
+    TokenRequest,
+)
 
 __all__ = [
     'JOIN_SECONDS',
+    'REQUEST_TIMEOUT_SECONDS',
     'Cap',
     'CapBounds',
     'CapShares',
--- a/mustardshunt/caps/_shares.py
+++ b/mustardshunt/caps/_shares.py
@@ -13,6 +13,7 @@
 from mustardshunt.caps._division import CapDivision, CapPart
 from mustardshunt.caps._tokens import (
     PREFETCH_SECONDS,
+    REQUEST_TIMEOUT_SECONDS,
     ShareView,
     TokenRequest,
 )
@@ -34,11 +35,9 @@
 # bucket of the granting node refills in the meantime, so that these tokens add
 # to the total of the shares.
 BORROWED_TOKEN_TTL_SECONDS: Final = 0.3
-# Time without a grant after which a token request counts as lost and the node
-# may send another one.
-REQUEST_TIMEOUT_SECONDS: Final = 0.25
-# Time for which no request is sent to a node that has not replied.
-SILENT_PEER_BACKOFF_SECONDS: Final = 2.0
+# Time for which no request is sent to a node that has not replied, unless its
+# reply arrives late.
+SILENT_PEER_BACKOFF_SECONDS: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -49,8 +48,9 @@
     division: CapDivision
     demand: float = 0.0
     requested_from: str = ''
-    requested_at: float = -REQUEST_TIMEOUT_SECONDS
+    requested_at: float = float('-inf')
     received_at: float = 0.0
+    granted: float = 0.0
 
 
 class CapShares:
@@ -69,7 +69,8 @@
         Whether buckets start full. False when an earlier process of this node
         may already have spent the tokens of the share.
     usable_from : float, default=0.0
-        Seconds on this node's clock before which no token is spent or granted.
+        Seconds on this node's clock before which no token of the share is
+        spent or granted. Until then, tokens of other nodes are spent.
 
     Examples
     --------
@@ -165,8 +166,10 @@
             return True
         self._refill(organisation, bucket, now)
         bucket.demand += 1.0 / DEMAND_WINDOW_SECONDS
-        is_joining = bucket.part.fraction > 0 and now < self._usable_from
-        if is_joining or bucket.level < 1:
+        if bucket.granted >= 1:
+            bucket.granted -= 1.0
+            return True
+        if self._is_joining(bucket, now) or bucket.level < 1:
             return False
         bucket.level -= 1.0
         return True
@@ -336,7 +339,7 @@
         bucket = self._find_bucket(organisation)
         if bucket is None:
             return
-        bucket.requested_at = now - REQUEST_TIMEOUT_SECONDS
+        bucket.requested_at = float('-inf')
         bucket.requested_from = ''
         if amount <= 0:
             self._backoff_until[organisation, node] = (
@@ -345,7 +348,12 @@
             return
         self._refill(organisation, bucket, now)
         bucket.received_at = now
-        self._add_tokens(organisation, bucket, amount)
+        self._backoff_until.pop((organisation, node), None)
+        if self._is_joining(bucket, now):
+            # Granted tokens are spent while the own share cannot be used.
+            bucket.granted += amount
+        else:
+            self._add_tokens(organisation, bucket, amount)
 
     def snapshot(self, organisation: str) -> ShareView:
         """Return the current state of this node's share of a usage cap."""
@@ -366,6 +374,9 @@
             return None
         return self._bucket_by_name[organisation]
 
+    def _is_joining(self, bucket: _Bucket, now: float) -> bool:
+        return bucket.part.fraction > 0 and now < self._usable_from
+
     def _add_tokens(
         self, organisation: str, bucket: _Bucket, amount: int
     ) -> None:
--- a/mustardshunt/caps/_tokens.py
+++ b/mustardshunt/caps/_tokens.py
@@ -6,6 +6,9 @@
 # Period ahead for which a node requests tokens from other nodes. A node that
 # grants tokens keeps the tokens that it needs itself in this period.
 PREFETCH_SECONDS: Final = 0.3
+# Time without a grant after which a token request counts as lost and another
+# node is asked. A waiting request of a caller thus outlives one silent node.
+REQUEST_TIMEOUT_SECONDS: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardshunt/sidecar/_rate_limiter.py
+++ b/mustardshunt/sidecar/_rate_limiter.py
@@ -5,12 +5,17 @@
 from typing import Final, Protocol
 
 from mustardshunt.base import Clock
-from mustardshunt.caps import CapShares, ShareView, TokenRequest
+from mustardshunt.caps import (
+    REQUEST_TIMEOUT_SECONDS,
+    CapShares,
+    ShareView,
+    TokenRequest,
+)
 
 # Longest wait of a request for a token, as a fraction of the latency objective
 # of the route and in seconds. The shorter of the two times applies.
-TOKEN_WAIT_FRACTION: Final = 0.12
-MAX_TOKEN_WAIT_SECONDS: Final = 0.1
+TOKEN_WAIT_FRACTION: Final = 0.4
+MAX_TOKEN_WAIT_SECONDS: Final = 0.25
 
 
 class TokenPeers(Protocol):
@@ -84,7 +89,9 @@
             self._request_tokens(organisation, now)
             if not self._shares.has_open_request(organisation, now):
                 return False
-            await self._wait_for_tokens(organisation, deadline - now)
+            await self._wait_for_tokens(
+                organisation, min(deadline - now, REQUEST_TIMEOUT_SECONDS)
+            )
             now = self._clock.now()
             if self._shares.spend(organisation, now):
                 return True
