Let direct calls take turns with child calls at an overloaded service

Cause: child calls always started first. In an overload they always wait, so a service that gets mostly child calls served its direct callers last, however important they are.

Change: after each child call, one other call starts if any waits.

--- a/mustardshunt/upstream/_queue.py
+++ b/mustardshunt/upstream/_queue.py
@@ -10,13 +10,18 @@
 # most important rank: if a child call is refused, the work that was already
 # done for its request is lost.
 _CHILD_CALL_RANK: Final = -1
+# Child calls that start one after the other while other calls wait; then one of
+# the others starts. A service whose calls are mostly child calls would serve
+# its direct callers last, however important they are, since child calls wait in
+# every overload.
+MAX_CHILD_CALLS_IN_A_ROW: Final = 1
 
 
 class AdmissionQueue:
     """Queue of calls, ordered by priority rank.
 
     Within a rank, the organisations take turns (round robin). Child calls come
-    first.
+    first, but only ``MAX_CHILD_CALLS_IN_A_ROW`` of them while other calls wait.
 
     Examples
     --------
@@ -34,6 +39,7 @@
         ] = {}
         self._request_by_key: dict[Hashable, AdmissionRequest] = {}
         self._queued_at_by_key: dict[Hashable, float] = {}
+        self._child_calls_in_a_row = 0
 
     def __len__(self) -> int:
         return len(self._request_by_key)
@@ -50,11 +56,18 @@
 
     def pop(self) -> AdmissionRequest | None:
         """Remove and return the next call, None if the queue is empty."""
-        for rank in sorted(self._queues_by_rank):
+        ranks = sorted(self._queues_by_rank)
+        if self._child_calls_in_a_row >= MAX_CHILD_CALLS_IN_A_ROW:
+            ranks.sort(key=lambda rank: rank == _CHILD_CALL_RANK)
+        for rank in ranks:
             request = self._pop_round_robin(self._queues_by_rank[rank])
-            if request is not None:
-                return request
-            del self._queues_by_rank[rank]
+            if request is None:
+                del self._queues_by_rank[rank]
+                continue
+            self._child_calls_in_a_row += 1
+            if rank != _CHILD_CALL_RANK:
+                self._child_calls_in_a_row = 0
+            return request
         return None
 
     def remove(self, key: Hashable) -> AdmissionRequest | None:
--- a/mustardshunt/upstream/tests/chain_simulation.py
+++ b/mustardshunt/upstream/tests/chain_simulation.py
@@ -416,6 +416,46 @@
     return ChainSimulation(kinds, slots, seed)
 
 
+def make_yard_simulation(seed: int) -> ChainSimulation:
+    """Make a deployment whose smallest service gets mostly child calls.
+
+    The requests for ``dispatch`` call this service directly, and are of the
+    least important rank.
+    """
+    kinds = {
+        'lookup': CallKind(
+            'desk', 2, 0.12, 1.5, 5.0, 0.8, 100.0, (ChildCalls('history'),)
+        ),
+        'order': CallKind(
+            'orders',
+            0,
+            0.16,
+            1.5,
+            5.0,
+            1.0,
+            54.0,
+            (ChildCalls('lot', 2),),
+            True,
+        ),
+        'check': CallKind('stock', 2, 0.3, 0.8, 3.0, 1.5, 44.0),
+        'dispatch': CallKind('yard', 2, 0.096, 0.3, 1.2, 1.2, 12.0),
+        'history': CallKind(
+            'orders', 0, 0.015, 1.0, 2.5, 2.5, 0, (ChildCalls('lot'),)
+        ),
+        'lot': CallKind(
+            'stock', 0, 0.015, 0.8, 2.0, 2.0, 0, (ChildCalls('route', 4),)
+        ),
+        'route': CallKind('yard', 0, 0.03, 0.3, 0.7, 0.7),
+    }
+    slots = {
+        'desk': (40, (1.0, 1.0, 1.0, 1.0)),
+        'orders': (46, (1.0, 1.0, 1.0, 1.0)),
+        'stock': (36, (1.0, 1.0, 1.0, 1.0)),
+        'yard': (13, (0.7, 0.7, 1.6)),
+    }
+    return ChainSimulation(kinds, slots, seed)
+
+
 def weighted_goodput(
     simulation: ChainSimulation, start: float, end: float
 ) -> float:
--- a/mustardshunt/upstream/tests/test_chains.py
+++ b/mustardshunt/upstream/tests/test_chains.py
@@ -5,6 +5,7 @@
 from mustardshunt.upstream.tests.chain_simulation import (
     ChainSimulation,
     make_stock_simulation,
+    make_yard_simulation,
     weighted_goodput,
 )
 
@@ -21,6 +22,9 @@
 # full service.
 IMPORTANT_TARGET = 0.99
 RECOVERY_SECONDS = 2.0
+# Least part of the requests of each kind that the users want served on their
+# heaviest days.
+KIND_FLOOR = 0.27
 
 
 def simulate(
@@ -81,3 +85,18 @@
         simulation.in_time_ratio('booking', start, SERVERS_RESTORED_AT)
         < IMPORTANT_TARGET
     )
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_direct_requests_are_served_beside_chains(seed: int):
+    """Chains must not starve the direct requests of the service they end at.
+
+    The load is 2.4 times the usual. Child calls of the chains wait at the
+    service all the time.
+    """
+    simulation = make_yard_simulation(seed)
+    simulation.rate_factor = 2.4
+    simulation.run(16.0)
+    dispatch = simulation.in_time_ratio('dispatch', 3.0, 14.0)
+    assert dispatch >= KIND_FLOOR
+    assert simulation.in_time_ratio('order', 3.0, 14.0) >= dispatch
--- a/mustardshunt/upstream/tests/test_gate.py
+++ b/mustardshunt/upstream/tests/test_gate.py
@@ -161,6 +161,29 @@
     assert start_order == ['child', 'order', 'read', None]
 
 
+def test_other_calls_take_turns_with_child_calls():
+    """Child calls must not hold back all other calls of a service.
+
+    In an overload, child calls always wait. A service that gets mostly child
+    calls served its direct callers last, also the most important ones.
+    """
+    gate = make_open_gate(slots=1)
+    gate.admit(make_request('running'), 0.0)
+    for number in range(4):
+        child = make_request(
+            f'child{number}', priority_rank=2, is_child_call=True
+        )
+        gate.admit(child, 0.0)
+    gate.admit(make_request('read', priority_rank=2), 0.0)
+    gate.admit(make_request('order', priority_rank=0), 0.0)
+    start_order = []
+    running: object = 'running'
+    for _ in range(4):
+        running = gate.release(running, 0.1).started[0].key
+        start_order.append(running)
+    assert start_order == ['child0', 'order', 'child1', 'read']
+
+
 def test_organisations_are_served_round_robin():
     """The organisations with queued calls must take turns.
 
