--- /dev/null
+++ b/mustardshunt/relay/tests/test_fuzz.py
@@ -0,0 +1,130 @@
+"""Fuzz tests of the parsers of frames, requests and answers.
+
+Anything but the parser's own error would end the task of a connection in an
+unexpected way. ``make fuzz`` runs them with fresh seeds.
+"""
+
+import os
+from typing import Any
+
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mustardshunt.policy import RequestLimits
+from mustardshunt.relay import AnswerHead, FrameError, decode_frame
+from mustardshunt.relay._frames import _FRAME_TYPES
+from mustardshunt.relay._http_parser import AnswerParser, RequestParser
+
+EXAMPLES = os.environ.get('FUZZ_EXAMPLES')
+FUZZ = settings(
+    max_examples=int(EXAMPLES or 300),
+    derandomize=EXAMPLES is None,
+    deadline=None,
+    database=None,
+)
+REQUEST = (
+    b'POST /order/x?y=1 HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\n\r\n'
+    b'GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy'
+)
+ANSWER = (
+    b'HTTP/1.1 100 Continue\r\n\r\n'
+    b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'3\r\nabc\r\n0\r\nT: x\r\n\r\n'
+    b'HTTP/1.1 503 Busy\r\nX-Id: 2\r\nContent-Length: 4\r\n\r\nbusy'
+)
+PIECES = st.one_of(
+    st.binary(max_size=6),
+    st.sampled_from([
+        b'\r\n',
+        b'\n',
+        b'\x00',
+        b'Content-Length: 99999999999999999999\r\n',
+        b'Content-Length: -1\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Upgrade: h2c\r\nConnection: Upgrade\r\n',
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        b'ffffffffffffffffff\r\n',
+    ]),
+)
+SCALARS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**70), 2**70),
+    st.floats(),
+    st.text(max_size=5),
+    st.binary(max_size=5),
+)
+
+
+@st.composite
+def changed_bytes(draw: Any, original: bytes) -> list[bytes]:
+    """Draw changed bytes, in pieces as a connection may deliver them."""
+    changed = original
+    for _ in range(draw(st.integers(0, 4))):
+        start = draw(st.integers(0, len(changed)))
+        end = start + draw(st.integers(0, 5))
+        changed = changed[:start] + draw(PIECES) + changed[end:]
+    size = draw(st.integers(1, 40))
+    return [
+        changed[first : first + size] for first in range(0, len(changed), size)
+    ]
+
+
+class Answers:
+    """Counts the answers that a parser reports."""
+
+    def __init__(self) -> None:
+        self.begun = 0
+        self.ended = 0
+
+    def begin_answer(self, head: AnswerHead) -> None:
+        self.begun += 1
+
+    def end_answer(self, body: bytes, should_close: bool) -> None:
+        self.ended += 1
+
+
+@FUZZ
+@given(content=st.lists(st.one_of(SCALARS, st.lists(SCALARS, max_size=3))))
+def test_any_array_is_a_frame_or_a_frame_error(content: list[Any]):
+    try:
+        frame = decode_frame(cbor2.dumps(content))
+    except FrameError:
+        return
+    assert isinstance(frame, tuple(_FRAME_TYPES))
+
+
+@FUZZ
+@given(encoded=st.binary(max_size=80))
+def test_any_bytes_are_a_frame_or_a_frame_error(encoded: bytes):
+    try:
+        decode_frame(encoded)
+    except FrameError:
+        return
+
+
+@FUZZ
+@given(pieces=changed_bytes(REQUEST))
+def test_changed_requests_are_parsed_or_refused(pieces: list[bytes]):
+    parser = RequestParser(RequestLimits)
+    for piece in pieces:
+        parser.feed(piece, 0.0)
+    assert parser.error_status in {0, 400, 413, 431}
+    for parsed in parser.requests:
+        assert len(parsed.request.body) <= RequestLimits().max_body_bytes
+
+
+@FUZZ
+@given(pieces=changed_bytes(ANSWER))
+def test_changed_answers_are_parsed_or_rejected(pieces: list[bytes]):
+    answers = Answers()
+    parser = AnswerParser(answers, 1000)
+    try:
+        for piece in pieces:
+            parser.feed(piece)
+    except ValueError:
+        return
+    parser.feed_end()
+    assert answers.ended <= answers.begun
