--- a/mustardshunt/standin/tests/conftest.py
+++ b/mustardshunt/standin/tests/conftest.py
@@ -4,6 +4,7 @@
 import os
 import shlex
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
@@ -11,6 +12,10 @@
 
 import mustardshunt
 from mustardshunt.standin._local_fleet import LocalFleet
+from mustardshunt.standin.tests.deployment import (
+    Deployment,
+    start_deployment,
+)
 from mustardshunt.standin.tests.shared_fleet import SharedFleet
 
 ROOT = Path(mustardshunt.__file__).parent.parent
@@ -64,3 +69,13 @@
     """Return the shared fleet, with ended processes started again."""
     await started_fleet.restore()
     return started_fleet
+
+
+@pytest_asyncio.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    """Return a store without nodes; everything is stopped after the test."""
+    deployment = await start_deployment()
+    try:
+        yield deployment
+    finally:
+        await deployment.stop()
--- a/mustardshunt/standin/tests/deployment.py
+++ b/mustardshunt/standin/tests/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import os
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -244,3 +245,10 @@
     await store.start(address)
     store.put('op', 'config', make_policy())
     return Deployment(store, address)
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds, for at most 5 s."""
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
--- a/mustardshunt/standin/tests/test_deployment.py
+++ b/mustardshunt/standin/tests/test_deployment.py
@@ -1,9 +1,6 @@
 """Tests of the path of a request through sidecar nodes, over real sockets."""
 
 import asyncio
-from collections.abc import AsyncIterator
-
-import pytest_asyncio
 
 from mustardshunt.policy import PolicyRegistry
 from mustardshunt.standin.tests.deployment import (
@@ -11,26 +8,10 @@
     SidecarNode,
     make_policy,
     make_route,
-    start_deployment,
+    wait_until,
 )
 
 
-@pytest_asyncio.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    deployment = await start_deployment()
-    try:
-        yield deployment
-    finally:
-        await deployment.stop()
-
-
-async def wait_until(condition: object) -> None:
-    """Wait until a condition holds, for at most 5 s."""
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def _registry(node: SidecarNode) -> PolicyRegistry:
     return node.sidecar._registry
 
--- a/mustardshunt/standin/tests/test_pipelining.py
+++ b/mustardshunt/standin/tests/test_pipelining.py
@@ -1,26 +1,13 @@
 """Tests of pipelined requests through sidecar nodes, over real sockets."""
 
 import asyncio
-from collections.abc import AsyncIterator
-
-import pytest_asyncio
 
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
-    start_deployment,
 )
 
 
-@pytest_asyncio.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    deployment = await start_deployment()
-    try:
-        yield deployment
-    finally:
-        await deployment.stop()
-
-
 class PipeliningCaller:
     """A connection on which requests are sent before the answers arrive."""
 
--- a/mustardshunt/standin/tests/test_restart.py
+++ b/mustardshunt/standin/tests/test_restart.py
@@ -2,31 +2,18 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator
-
-import pytest_asyncio
 
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
     make_policy,
-    start_deployment,
+    wait_until,
 )
-from mustardshunt.standin.tests.test_deployment import wait_until
 
 # Time in which a restarted node hears of its peers several times.
 OBSERVED_SECONDS = 3.0
 
 
-@pytest_asyncio.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    deployment = await start_deployment()
-    try:
-        yield deployment
-    finally:
-        await deployment.stop()
-
-
 async def restart(deployment: Deployment, node: SidecarNode) -> SidecarNode:
     """Kill a node, and start a process that knows nothing at its place."""
     await node.kill()
--- a/mustardshunt/standin/tests/test_robustness.py
+++ b/mustardshunt/standin/tests/test_robustness.py
@@ -2,21 +2,18 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
 from typing import Any
 
 import cbor2
 import pytest
-import pytest_asyncio
 
 from mustardshunt.relay import Hello, encode_frame
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
     make_policy,
-    start_deployment,
+    wait_until,
 )
-from mustardshunt.standin.tests.test_deployment import wait_until
 
 REQUEST = (
     b'GET /read/x HTTP/1.1\r\nHost: h.example\r\n'
@@ -29,15 +26,6 @@
 )
 
 
-@pytest_asyncio.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    deployment = await start_deployment()
-    try:
-        yield deployment
-    finally:
-        await deployment.stop()
-
-
 def kinds(node: SidecarNode) -> list[str]:
     return [line['kind'] for line in node.log.lines]
 
--- a/mustardshunt/standin/tests/test_stop_under_load.py
+++ b/mustardshunt/standin/tests/test_stop_under_load.py
@@ -1,32 +1,20 @@
 """Tests of planned stops while callers send requests without a pause."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import pytest
-import pytest_asyncio
 
 from mustardshunt.base import VmAddress
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
-    start_deployment,
 )
 from mustardshunt.standin.tests.test_pipelining import PipeliningCaller
 
 CONNECTIONS = 12
 
 
-@pytest_asyncio.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    deployment = await start_deployment()
-    try:
-        yield deployment
-    finally:
-        await deployment.stop()
-
-
 @dataclass
 class Tally:
     """Results of all requests, by request id."""
--- a/mustardshunt/standin/tests/test_trails.py
+++ b/mustardshunt/standin/tests/test_trails.py
@@ -1,27 +1,14 @@
 """The log must explain a failed request, as docs/OPERATIONS.md says."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from typing import Any
 
-import pytest_asyncio
-
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
     make_policy,
-    start_deployment,
+    wait_until,
 )
-from mustardshunt.standin.tests.test_deployment import wait_until
-
-
-@pytest_asyncio.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    deployment = await start_deployment()
-    try:
-        yield deployment
-    finally:
-        await deployment.stop()
 
 
 def lines_by_kind(
