Ignore SIGHUP while a process starts

A reload signal arrived during the imports of a process that had just been started; the handler was not installed yet, and the default action ended the process without a log line.

--- a/mustardshunt/platform/__main__.py
+++ b/mustardshunt/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Runs a node on the users' platform: ``python -m mustardshunt.platform``."""
+"""Runs a node on the users' platform; ``mustardshunt.start`` starts it."""
 
 import asyncio
 import gc
--- a/mustardshunt/standin/soak/_fleet.py
+++ b/mustardshunt/standin/soak/_fleet.py
@@ -123,7 +123,7 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'mustardshunt.platform',
+            'mustardshunt.start',
             env={**os.environ, 'MUSTARDSHUNT_SETTINGS': str(path)},
             stdout=log,
             stderr=log,
--- a/mustardshunt/standin/soak/tests/test_soak.py
+++ b/mustardshunt/standin/soak/tests/test_soak.py
@@ -7,7 +7,8 @@
 # A single seed keeps the tests short. Run ``python -m
 # mustardshunt.standin.soak`` for longer soaks. Add each seed that found a
 # violation here, with a comment on the cause.
-SEEDS = (1,)
+# 895489, 895515: SIGHUP arrived while a process started and ended it.
+SEEDS = (1, 895489, 895515)
 SECONDS = 6.0
 
 
--- /dev/null
+++ b/mustardshunt/standin/tests/test_start_signals.py
@@ -0,0 +1,65 @@
+"""Tests of signals that arrive while a process starts."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from mustardshunt.sidecar.tests.test_settings import fill_template
+from mustardshunt.standin.tests.deployment import HOST, next_address
+
+SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
+
+
+def ignores_sighup(pid: int) -> bool:
+    status = Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+    for line in status.splitlines():
+        if line.startswith('SigIgn:'):
+            return bool(int(line.split()[1], 16) & SIGHUP_BIT)
+    return False
+
+
+@pytest.mark.processes
+async def test_reload_signal_while_the_process_starts_does_not_end_it(
+    tmp_path: Path,
+):
+    """SIGHUP may arrive before the node has installed its handler.
+
+    The process ended silently, since the default action of SIGHUP is to
+    terminate. Found by the soak with the seeds 895489 and 895515.
+    """
+    path = tmp_path / 'node.ini'
+    addresses = {
+        name: str(next_address())
+        for name in (
+            'app',
+            'listen.outbound',
+            'listen.inbound',
+            'listen.ready',
+            'listen.control',
+            'platform.address',
+        )
+    }
+    settings = fill_template(ip=HOST, **addresses)
+    path.write_text(settings, encoding='utf-8')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'mustardshunt.start',
+        env={'MUSTARDSHUNT_SETTINGS': str(path)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(20):
+            while not ignores_sighup(process.pid):
+                await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGHUP)
+            assert process.stdout is not None
+            line = await process.stdout.readline()
+        assert b'"kind":"start"' in line
+        assert process.returncode is None
+    finally:
+        process.kill()
+        await process.wait()
