--- a/mustardshunt/caps/_caps.py
+++ b/mustardshunt/caps/_caps.py
@@ -13,9 +13,10 @@
 USED_OVERAGE_FRACTION: Final = 0.5
 USED_SLACK_FRACTION: Final = 0.9
 # Fraction of the minimum of retries that each cap on retries may use. A retried
-# request makes its child calls again, up to four of them at one service. With
-# four services and two kinds of calls, the caps of the other services add five
-# times four of their retries to the two kinds at the last service of a chain.
+# request makes its child calls again. In a chain of four services, five caps
+# (requests at the first three services, child calls at the second and third)
+# repeat up to four calls each at the last service, which has two caps of its
+# own: 5 x 4 + 2 = 22.
 RETRY_MINIMUM_FRACTION: Final = 1 / 22
 # Fraction of a cap on retries that may be spent at once.
 RETRY_BURST_FRACTION: Final = 0.5
--- a/mustardshunt/caps/_division.py
+++ b/mustardshunt/caps/_division.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CapPart:
-    """Part of one node in the usage cap of an organisation.
+    """Part of one node in a cap.
 
     Parameters
     ----------
@@ -69,23 +69,23 @@
             self._ring_by_data_centre.setdefault(data_centre, []).append(name)
         self._own_data_centre = data_centre_by_name.get(own, '')
 
-    def part_of(self, organisation: str, tokens: float) -> CapPart:
+    def part_of(self, cap_name: str, tokens: float) -> CapPart:
         """Return the part of this node in a usage cap.
 
         Parameters
         ----------
-        organisation : str
-            Name of the organisation.
+        cap_name : str
+            Name of the cap.
         tokens : float
             Largest burst of all nodes together.
         """
-        data_centres = _rotate(self._holding(organisation, tokens), self._rank)
+        data_centres = _rotate(self._holding(cap_name, tokens), self._rank)
         data_centres.sort(key=lambda name: name != self._own_data_centre)
         count = max(1, int(tokens / MIN_SHARE_TOKENS / len(data_centres)))
         fraction = 0.0
         names: list[str] = []
         for data_centre in data_centres:
-            holders = self._holders(data_centre, organisation, count)
+            holders = self._holders(data_centre, cap_name, count)
             if self._own in holders:
                 fraction = 1.0 / len(data_centres) / len(holders)
             names += _rotate(holders, self._rank)
@@ -93,17 +93,17 @@
             fraction, tuple(name for name in names if name != self._own)
         )
 
-    def _holding(self, organisation: str, tokens: float) -> list[str]:
+    def _holding(self, cap_name: str, tokens: float) -> list[str]:
         count = max(1, int(tokens / MIN_DATA_CENTRE_TOKENS))
-        first = int.from_bytes(rank_of(organisation)[0])
+        first = int.from_bytes(rank_of(cap_name)[0])
         return _rotate(sorted(self._ring_by_data_centre), first)[:count]
 
     def _holders(
-        self, data_centre: str, organisation: str, count: int
+        self, data_centre: str, cap_name: str, count: int
     ) -> list[str]:
         ring = self._ring_by_data_centre[data_centre]
         candidates = ring[: max(count, CANDIDATES_PER_DATA_CENTRE)]
-        first = int.from_bytes(rank_of(organisation)[0])
+        first = int.from_bytes(rank_of(cap_name)[0])
         return _rotate(candidates, first)[:count]
 
 
--- a/mustardshunt/caps/_shares.py
+++ b/mustardshunt/caps/_shares.py
@@ -1,6 +1,7 @@
-"""Share of each organisation's rate and burst that belongs to one node.
+"""Shares of the caps that belong to one node.
 
-A usage cap is an organisation's rate and burst over all nodes. The cap is
+A cap is a rate and a burst of all nodes together, such as those of the
+requests of an organisation, or of the retries to a service. The cap is
 divided into shares, and each share has a token bucket at one node. A node with
 too few tokens requests tokens from other nodes.
 """
@@ -25,7 +26,7 @@
 # tokens in advance if the demand is above the rate of its share. With more
 # tokens, the node requests none in advance.
 LOW_LEVEL_FRACTION: Final = 0.35
-# Period over which the demand (requests per second of an organisation at this
+# Period over which the demand (tokens per second that are needed at this
 # node) is averaged.
 DEMAND_WINDOW_SECONDS: Final = 1.0
 # After a node has granted no tokens, no further request is sent to that node
@@ -54,7 +55,7 @@
 
 
 class CapShares:
-    """Token buckets with this node's share of each organisation's usage cap.
+    """Token buckets with this node's share of each cap.
 
     The shares of all nodes add up to the usage cap plus a part of the amount by
     which the cap may be exceeded. A granted token leaves the bucket of one node
@@ -80,7 +81,7 @@
     >>> [shares.spend('o', now=0.0) for _ in range(5)]
     [True, True, True, True, False]
     >>> shares.make_request('o', shares.holders('o'), waiting=1, now=0.0)
-    TokenRequest(organisation='o', node='b', wanted=2)
+    TokenRequest(cap_name='o', node='b', wanted=2)
     """
 
     def __init__(
@@ -117,9 +118,9 @@
         """
         self._division = CapDivision(own, data_centre_by_name)
 
-    def holders(self, organisation: str) -> Collection[str]:
+    def holders(self, cap_name: str) -> Collection[str]:
         """Return the nodes to request tokens from, the preferred ones first."""
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         return () if bucket is None else bucket.part.holder_names
 
     def set_caps(
@@ -151,20 +152,20 @@
                 )
                 continue
             self._set_part(cap, known, part, now)
-        # The bucket of an organisation that is added while this node runs
-        # starts full. The bucket of a removed organisation is kept, so that the
-        # organisation gets no new burst when a later policy lists it again.
+        # The bucket of a cap that is added while this node runs
+        # starts full. The bucket of a removed cap is kept, so that the
+        # cap gives no new burst when a later policy lists it again.
         self._starts_full = True
 
-    def spend(self, organisation: str, now: float) -> bool:
+    def spend(self, cap_name: str, now: float) -> bool:
         """Count one request and spend a token; return False if there is none.
 
-        An organisation without a limit needs no token, and the result is True.
+        A name without a cap needs no token, and the result is True.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None:
             return True
-        self._refill(organisation, bucket, now)
+        self._refill(cap_name, bucket, now)
         bucket.demand += 1.0 / DEMAND_WINDOW_SECONDS
         if bucket.granted >= 1:
             bucket.granted -= 1.0
@@ -174,7 +175,7 @@
         bucket.level -= 1.0
         return True
 
-    def refund(self, organisation: str, now: float) -> str | None:
+    def refund(self, cap_name: str, now: float) -> str | None:
         """Put the token of a request that did not run back into a bucket.
 
         Returns
@@ -183,25 +184,25 @@
             Node to which the token is to be sent, since this node has no share
             that could keep it. None if this node keeps the token.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None:
             return None
-        self._refill(organisation, bucket, now)
+        self._refill(cap_name, bucket, now)
         if not bucket.part.fraction and bucket.part.holder_names:
             return bucket.part.holder_names[0]
-        self._add_tokens(organisation, bucket, 1)
+        self._add_tokens(cap_name, bucket, 1)
         return None
 
-    def is_low(self, organisation: str, now: float) -> bool:
+    def is_low(self, cap_name: str, now: float) -> bool:
         """Tell whether tokens should be requested before the bucket is empty.
 
         The result is True when the bucket is low, the demand is above the rate
         of this node's share, and no token request is open.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None:
             return False
-        cap = self._cap_by_name[organisation]
+        cap = self._cap_by_name[cap_name]
         if bucket.level >= LOW_LEVEL_FRACTION * self._capacity(cap, bucket):
             return False
         is_short = bucket.demand > self._rate(cap, bucket)
@@ -209,7 +210,7 @@
 
     def make_request(
         self,
-        organisation: str,
+        cap_name: str,
         nodes: Collection[str],
         waiting: int,
         now: float,
@@ -221,8 +222,8 @@
 
         Parameters
         ----------
-        organisation : str
-            Organisation of the tokens.
+        cap_name : str
+            Name of the cap of the tokens.
         nodes : collection of str
             Names of the reachable nodes, in order of preference.
         waiting : int
@@ -233,39 +234,39 @@
         Returns
         -------
         TokenRequest or None
-            None when the organisation has no limit, when another token request
-            of the organisation is open, or when every node is skipped.
+            None when the name has no cap, when another token request
+            of the cap is open, or when every node is skipped.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None or not _may_request(bucket, now):
             return None
         if bucket.requested_from:
-            self._backoff_until[organisation, bucket.requested_from] = (
+            self._backoff_until[cap_name, bucket.requested_from] = (
                 now + SILENT_PEER_BACKOFF_SECONDS
             )
             bucket.requested_from = ''
         for node in nodes:
-            if self._backoff_until.get((organisation, node), 0.0) > now:
+            if self._backoff_until.get((cap_name, node), 0.0) > now:
                 continue
             bucket.requested_at = now
             bucket.requested_from = node
             wanted = max(1, waiting)
             if bucket.part.fraction:
                 wanted = max(wanted, round(PREFETCH_SECONDS * bucket.demand))
-            return TokenRequest(organisation, node, wanted)
+            return TokenRequest(cap_name, node, wanted)
         return None
 
-    def has_open_request(self, organisation: str, now: float) -> bool:
+    def has_open_request(self, cap_name: str, now: float) -> bool:
         """Tell whether a token request was sent and has no reply yet.
 
         A request without a reply counts as lost after
         ``REQUEST_TIMEOUT_SECONDS``.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         return bucket is not None and not _may_request(bucket, now)
 
     def grant(
-        self, organisation: str, requester: str, wanted: int, now: float
+        self, cap_name: str, requester: str, wanted: int, now: float
     ) -> int:
         """Take tokens out of this node's bucket for another node.
 
@@ -275,8 +276,8 @@
 
         Parameters
         ----------
-        organisation : str
-            Organisation of the tokens.
+        cap_name : str
+            Name of the cap of the tokens.
         requester : str
             Name of the other node.
         wanted : int
@@ -289,10 +290,10 @@
         int
             Number of tokens granted, 0 to ``wanted``.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None or now < self._usable_from:
             return 0
-        self._refill(organisation, bucket, now)
+        self._refill(cap_name, bucket, now)
         if not bucket.part.fraction:
             return 0
         if requester in bucket.part.holder_names:
@@ -306,18 +307,18 @@
         bucket.level -= granted
         return granted
 
-    def take_back(self, organisation: str, amount: int, now: float) -> None:
+    def take_back(self, cap_name: str, amount: int, now: float) -> None:
         """Add tokens that another node returns, up to the capacity."""
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None:
             return
-        self._refill(organisation, bucket, now)
+        self._refill(cap_name, bucket, now)
         if bucket.part.fraction:
-            self._add_tokens(organisation, bucket, max(0, amount))
+            self._add_tokens(cap_name, bucket, max(0, amount))
 
     def receive(
         self,
-        organisation: str,
+        cap_name: str,
         node: str,
         amount: int,
         now: float,
@@ -326,8 +327,8 @@
 
         Parameters
         ----------
-        organisation : str
-            Organisation of the tokens.
+        cap_name : str
+            Name of the cap of the tokens.
         node : str
             Name of the node that replied to the token request.
         amount : int
@@ -336,31 +337,31 @@
         now : float
             Seconds on this node's clock.
         """
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None:
             return
         bucket.requested_at = float('-inf')
         bucket.requested_from = ''
         if amount <= 0:
-            self._backoff_until[organisation, node] = (
+            self._backoff_until[cap_name, node] = (
                 now + EMPTY_PEER_BACKOFF_SECONDS
             )
             return
-        self._refill(organisation, bucket, now)
+        self._refill(cap_name, bucket, now)
         bucket.received_at = now
-        self._backoff_until.pop((organisation, node), None)
+        self._backoff_until.pop((cap_name, node), None)
         if self._is_joining(bucket, now):
             # Granted tokens are spent while the own share cannot be used.
             bucket.granted += amount
         else:
-            self._add_tokens(organisation, bucket, amount)
+            self._add_tokens(cap_name, bucket, amount)
 
-    def snapshot(self, organisation: str) -> ShareView:
+    def snapshot(self, cap_name: str) -> ShareView:
         """Return the current state of this node's share of a usage cap."""
-        bucket = self._find_bucket(organisation)
+        bucket = self._find_bucket(cap_name)
         if bucket is None:
             return ShareView(1.0, 1.0, 1.0, 1)
-        cap = self._cap_by_name[organisation]
+        cap = self._cap_by_name[cap_name]
         is_holder = bucket.part.fraction > 0
         return ShareView(
             bucket.level,
@@ -369,18 +370,16 @@
             len(bucket.part.holder_names) + is_holder,
         )
 
-    def _find_bucket(self, organisation: str) -> _Bucket | None:
-        if organisation not in self._cap_by_name:
+    def _find_bucket(self, cap_name: str) -> _Bucket | None:
+        if cap_name not in self._cap_by_name:
             return None
-        return self._bucket_by_name[organisation]
+        return self._bucket_by_name[cap_name]
 
     def _is_joining(self, bucket: _Bucket, now: float) -> bool:
         return bucket.part.fraction > 0 and now < self._usable_from
 
-    def _add_tokens(
-        self, organisation: str, bucket: _Bucket, amount: int
-    ) -> None:
-        capacity = self._capacity(self._cap_by_name[organisation], bucket)
+    def _add_tokens(self, cap_name: str, bucket: _Bucket, amount: int) -> None:
+        capacity = self._capacity(self._cap_by_name[cap_name], bucket)
         if not capacity:
             # A node without a share has a capacity of 0 and still stores
             # granted tokens. Such a node requests tokens only for waiting
@@ -389,10 +388,10 @@
             return
         bucket.level = min(capacity, bucket.level + amount)
 
-    def _refill(self, organisation: str, bucket: _Bucket, now: float) -> None:
-        cap = self._cap_by_name[organisation]
+    def _refill(self, cap_name: str, bucket: _Bucket, now: float) -> None:
+        cap = self._cap_by_name[cap_name]
         if bucket.division is not self._division:
-            part = self._division.part_of(organisation, cap.burst)
+            part = self._division.part_of(cap_name, cap.burst)
             self._set_part(cap, bucket, part, now)
         elapsed = max(0.0, now - bucket.updated_at)
         if not elapsed:
--- a/mustardshunt/caps/_tokens.py
+++ b/mustardshunt/caps/_tokens.py
@@ -17,8 +17,8 @@
 
     Parameters
     ----------
-    organisation : str
-        Organisation of the tokens.
+    cap_name : str
+        Name of the cap of the tokens.
     node : str
         Name of the node that the request goes to.
     wanted : int
@@ -26,14 +26,14 @@
         expected demand of the near future.
     """
 
-    organisation: str
+    cap_name: str
     node: str
     wanted: int
 
 
 @dataclass(frozen=True, slots=True)
 class ShareView:
-    """Snapshot of this node's share of an organisation's usage cap.
+    """Snapshot of this node's share of a cap.
 
     Parameters
     ----------
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -201,9 +201,7 @@
             else self._links.open(token_request.node)
         )
         if link is not None:
-            link.request_tokens(
-                token_request.organisation, token_request.wanted
-            )
+            link.request_tokens(token_request.cap_name, token_request.wanted)
 
     def return_token(self, organisation: str, node: str) -> None:
         """Send a token that is not needed back to a node with a share."""
--- a/mustardshunt/sidecar/_rate_limiter.py
+++ b/mustardshunt/sidecar/_rate_limiter.py
@@ -1,4 +1,4 @@
-"""Limits request rates of organisations; requests tokens from peers."""
+"""Limits requests and retries by caps; requests tokens from peers."""
 
 import asyncio
 from collections.abc import Collection
@@ -29,13 +29,13 @@
         """Send a token request to the node named in the request."""
         ...
 
-    def return_token(self, organisation: str, node: str) -> None:
+    def return_token(self, cap_name: str, node: str) -> None:
         """Send a token that is not needed back to a node with a share."""
         ...
 
 
 class RateLimiter:
-    """Spends one token of an organisation for each of its requests.
+    """Spends one token of a cap for each request or retry.
 
     When the tokens of this node run low, the limiter requests tokens from other
     nodes. A caller's request that finds no token waits a short time for granted
@@ -44,7 +44,7 @@
     Parameters
     ----------
     shares : CapShares
-        This node's shares of the organisations' rates, with the tokens that
+        This node's shares of the caps, with the tokens that
         are left.
     peers : TokenPeers
         Nodes to which token requests can be sent.
@@ -61,92 +61,84 @@
         self._shares = shares
         self._peers = peers
         self._clock = clock
-        self._waiters_by_organisation: dict[
-            str, list[asyncio.Future[None]]
-        ] = {}
+        self._waiters_by_cap: dict[str, list[asyncio.Future[None]]] = {}
 
-    async def acquire(
-        self, organisation: str, latency_objective: float
-    ) -> bool:
+    async def acquire(self, cap_name: str, latency_objective: float) -> bool:
         """Spend one token; return False if no token is available in time.
 
         Parameters
         ----------
-        organisation : str
-            Name of the organisation.
+        cap_name : str
+            Name of the cap: an organisation, or a cap on retries.
         latency_objective : float
             Seconds within which the request should be answered.
         """
         now = self._clock.now()
-        if self._shares.spend(organisation, now):
-            if self._shares.is_low(organisation, now):
-                self._request_tokens(organisation, now)
+        if self._shares.spend(cap_name, now):
+            if self._shares.is_low(cap_name, now):
+                self._request_tokens(cap_name, now)
             return True
         deadline = now + min(
             MAX_TOKEN_WAIT_SECONDS, latency_objective * TOKEN_WAIT_FRACTION
         )
         while now < deadline:
-            self._request_tokens(organisation, now)
-            if not self._shares.has_open_request(organisation, now):
+            self._request_tokens(cap_name, now)
+            if not self._shares.has_open_request(cap_name, now):
                 return False
             await self._wait_for_tokens(
-                organisation, min(deadline - now, REQUEST_TIMEOUT_SECONDS)
+                cap_name, min(deadline - now, REQUEST_TIMEOUT_SECONDS)
             )
             now = self._clock.now()
-            if self._shares.spend(organisation, now):
+            if self._shares.spend(cap_name, now):
                 return True
         return False
 
-    def refund(self, organisation: str) -> None:
+    def refund(self, cap_name: str) -> None:
         """Put the token of a request that has not run back into the share."""
-        if not organisation:
+        if not cap_name:
             return
-        node = self._shares.refund(organisation, self._clock.now())
+        node = self._shares.refund(cap_name, self._clock.now())
         if node is not None:
-            self._peers.return_token(organisation, node)
+            self._peers.return_token(cap_name, node)
 
-    def snapshot(self, organisation: str) -> ShareView:
-        """Return this node's share of an organisation's rate."""
-        return self._shares.snapshot(organisation)
+    def snapshot(self, cap_name: str) -> ShareView:
+        """Return this node's share of a cap."""
+        return self._shares.snapshot(cap_name)
 
-    def receive(self, organisation: str, node: str, amount: int) -> None:
+    def receive(self, cap_name: str, node: str, amount: int) -> None:
         """Add the tokens that a node has granted and wake waiting requests."""
         now = self._clock.now()
-        self._shares.receive(organisation, node, amount, now)
-        for waiter in self._waiters_by_organisation.pop(organisation, []):
+        self._shares.receive(cap_name, node, amount, now)
+        for waiter in self._waiters_by_cap.pop(cap_name, []):
             if not waiter.done():
                 waiter.set_result(None)
 
-    def grant(self, organisation: str, requester: str, wanted: int) -> int:
+    def grant(self, cap_name: str, requester: str, wanted: int) -> int:
         """Remove tokens from this node's share, to grant them to another node.
 
         Removes at most ``wanted`` tokens and returns the number removed. When
         the share runs low, this node requests tokens from other nodes itself.
         """
         now = self._clock.now()
-        granted = self._shares.grant(organisation, requester, wanted, now)
-        if self._shares.is_low(organisation, now):
-            self._request_tokens(organisation, now)
+        granted = self._shares.grant(cap_name, requester, wanted, now)
+        if self._shares.is_low(cap_name, now):
+            self._request_tokens(cap_name, now)
         return granted
 
-    def take_back(self, organisation: str, amount: int) -> None:
+    def take_back(self, cap_name: str, amount: int) -> None:
         """Add tokens that another node returns to this node's share."""
-        self._shares.take_back(organisation, amount, self._clock.now())
+        self._shares.take_back(cap_name, amount, self._clock.now())
 
-    def _request_tokens(self, organisation: str, now: float) -> None:
-        waiting = len(self._waiters_by_organisation.get(organisation, ())) + 1
-        names = self._peers.reachable_first(self._shares.holders(organisation))
-        token_request = self._shares.make_request(
-            organisation, names, waiting, now
-        )
+    def _request_tokens(self, cap_name: str, now: float) -> None:
+        waiting = len(self._waiters_by_cap.get(cap_name, ())) + 1
+        names = self._peers.reachable_first(self._shares.holders(cap_name))
+        token_request = self._shares.make_request(cap_name, names, waiting, now)
         if token_request is not None:
             self._peers.request(token_request)
 
-    async def _wait_for_tokens(self, organisation: str, seconds: float) -> None:
+    async def _wait_for_tokens(self, cap_name: str, seconds: float) -> None:
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters_by_organisation.setdefault(organisation, []).append(
-            waiter
-        )
+        self._waiters_by_cap.setdefault(cap_name, []).append(waiter)
         try:
             async with asyncio.timeout(seconds):
                 await waiter
--- a/mustardshunt/sidecar/tests/test_rate_limiter.py
+++ b/mustardshunt/sidecar/tests/test_rate_limiter.py
@@ -48,7 +48,7 @@
         asyncio.get_running_loop().call_later(
             self._delay,
             self.limiter.receive,
-            token_request.organisation,
+            token_request.cap_name,
             token_request.node,
             token_request.wanted,
         )
