--- a/mustardshunt/sidecar/_retries.py
+++ b/mustardshunt/sidecar/_retries.py
@@ -57,6 +57,19 @@
         progress: Progress,
         answer: Answered,
     ) -> bool:
+        """Tell whether a request is sent again although it was answered.
+
+        Only requests of callers are retried after an error of a backend server.
+
+        Parameters
+        ----------
+        context : RequestContext
+            The request.
+        progress : Progress
+            Attempts so far; the answer is recorded in it.
+        answer : Answered
+            Answer of the last attempt.
+        """
         if answer.status < _SERVER_ERROR or answer.status == _GATEWAY_TIMEOUT:
             return False
         if context.is_child_call:
@@ -73,6 +86,13 @@
         progress: Progress,
         result: NotRun,
     ) -> None:
+        """Record that the last attempt has not run.
+
+        Raises
+        ------
+        RefusedError
+            The request is not sent to another member.
+        """
         reason = Reason(result.reason)
         progress.last_reason = reason
         progress.refusals += 1
@@ -91,6 +111,13 @@
         progress: Progress,
         result: AnswerLost,
     ) -> None:
+        """Record that the last attempt may have run, without an answer.
+
+        Raises
+        ------
+        RefusedError
+            The request is not sent to another member.
+        """
         progress.runs += 1
         self._log.log_lost(context, progress, result)
         if await self._may_retry(context, progress, result.reason):
@@ -124,6 +151,7 @@
 
 
 def retry_kind_of(context: RequestContext) -> RetryKind:
+    """Return the kind of call as which retries of a request are counted."""
     if context.is_child_call:
         return RetryKind.CHILD_CALL
     return RetryKind.REQUEST
