--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo lint format types imports names check golden bench surge measure capacity soak fuzz
+.PHONY: setup test demo lint format types imports names check golden bench surge measure capacity soak fuzz regression
 
 # Recreates the environment when the lock file changes.
 $(VENV)/.installed: requirements.lock pyproject.toml
@@ -62,4 +62,9 @@
 names:
 	! git grep -nIE '$(PLATFORM_NAMES)' -- 'mustardshunt/*.py' ':!mustardshunt/platform/*' ':!mustardshunt/standin/*' ':!*/tests/*'
 
+# Quick scores on the users' bench: FLEETBENCH is its program, SITES are the site
+# files of the deployments.
+regression: setup
+	for site in $(SITES); do $(FLEETBENCH) score $$site --quick --why 'regression run' || exit 1; done
+
 check: lint types imports names
