Log reports of a backend server that change nothing

Change: one line report-ignored with the report and the last heartbeat that counts; the line backend-server also has the start time of the run.

--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -174,8 +174,19 @@
             False if the heartbeat is outdated and was ignored.
         """
         now = self.clock.now()
+        current = self.gate.liveness.current
         before = (self.gate.instance, self.gate.liveness.phase)
         if not self.gate.record_heartbeat(heartbeat, now):
+            self._log.record(
+                'report-ignored',
+                now,
+                instance=heartbeat.instance,
+                phase=heartbeat.phase.value,
+                started_at=heartbeat.started_at,
+                sequence=heartbeat.sequence,
+                current=current,
+                current_phase=before[1].value,
+            )
             return False
         after = (self.gate.instance, self.gate.liveness.phase)
         if before != after:
@@ -185,6 +196,7 @@
                 instance=heartbeat.instance,
                 phase=heartbeat.phase.value,
                 before=before[1].value,
+                started_at=heartbeat.started_at,
                 sequence=heartbeat.sequence,
                 slots=heartbeat.slots,
                 cold_for=heartbeat.cold_for,
@@ -203,6 +215,15 @@
                 phase='gone',
                 reason='backend server has deregistered',
             )
+        else:
+            self._log.record(
+                'report-ignored',
+                now,
+                instance=instance,
+                phase='gone',
+                current=self.gate.liveness.current,
+                current_phase=self.gate.liveness.phase.value,
+            )
         self._handle_status_change(now)
 
     def mark_server_lost(self) -> None:
