Keep the leaving of a backend server's process for good

Cause: the phase of the backend server was the one of the last accepted report. A ready report with a higher number opened the gate again; a leaving with an outdated number, or the deregistration of a process that the node did not know, was acknowledged and dropped.

Change: LeavingRuns holds the runs that have announced their leaving, in any order of arrival; it only grows. A deregistration of an unknown process bars its name for 10 s. A closed gate starts no queued call. What a node learns about its backend server is applied in a module of its own.

It works since no order of reports can remove an entry, and the gate reads the entries for each call.

--- /dev/null
+++ b/mustardshunt/sidecar/_backend_server_reports.py
@@ -0,0 +1,126 @@
+"""Applies what a node learns about its backend server, and logs it."""
+
+from collections.abc import Callable
+
+from mustardshunt.base import Clock
+from mustardshunt.observability import EventLog
+from mustardshunt.upstream import BackendGate, Heartbeat, ServerRun
+
+
+class BackendServerReports:
+    """Reports about the backend server beside this node.
+
+    The backend server itself sends heartbeats and deregistrations. Other nodes
+    report what a restarted node has forgotten.
+
+    Parameters
+    ----------
+    gate : BackendGate
+        Admission control of the backend server.
+    log : EventLog
+        Log of changes, and of reports that change nothing.
+    clock : Clock
+        Source of the time.
+    on_change : callable
+        Called with the time in seconds after the state may have changed.
+    """
+
+    def __init__(
+        self,
+        gate: BackendGate,
+        log: EventLog,
+        clock: Clock,
+        on_change: Callable[[float], None],
+    ) -> None:
+        self._gate = gate
+        self._log = log
+        self._clock = clock
+        self._on_change = on_change
+
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Update the state of the backend server from its heartbeat.
+
+        Also logs a change of the instance or of its phase.
+        """
+        now = self._clock.now()
+        current = self._gate.liveness.current
+        before = (self._gate.instance, self._gate.liveness.phase)
+        is_recorded = self._gate.record_heartbeat(heartbeat, now)
+        after = (self._gate.instance, self._gate.liveness.phase)
+        if not is_recorded and before == after:
+            self._log.record(
+                'report-ignored',
+                now,
+                instance=heartbeat.instance,
+                phase=heartbeat.phase.value,
+                started_at=heartbeat.started_at,
+                sequence=heartbeat.sequence,
+                current=current,
+                current_phase=before[1].value,
+            )
+            return
+        if before != after:
+            self._log.record(
+                'backend-server',
+                now,
+                instance=heartbeat.instance,
+                phase=after[1].value,
+                before=before[1].value,
+                started_at=heartbeat.started_at,
+                sequence=heartbeat.sequence,
+                slots=heartbeat.slots,
+                cold_for=heartbeat.cold_for,
+            )
+        self._on_change(now)
+
+    def deregister(self, instance: str) -> None:
+        """Mark an instance of the backend server as departed, and log it."""
+        now = self._clock.now()
+        liveness = self._gate.liveness
+        if liveness.deregister(instance, now):
+            self._log_phase(instance, 'backend server has deregistered', now)
+        else:
+            self._log.record(
+                'report-ignored',
+                now,
+                instance=instance,
+                phase='gone',
+                current=liveness.current,
+                current_phase=liveness.phase.value,
+            )
+        self._on_change(now)
+
+    def mark_leaving(self, run: ServerRun, source: str) -> None:
+        """Stop calls to a run of the backend server, which leaves.
+
+        Parameters
+        ----------
+        run : ServerRun
+            The run, which need not be the current one.
+        source : str
+            How the node learned it, for the log.
+        """
+        liveness = self._gate.liveness
+        before = liveness.phase
+        liveness.mark_leaving(run)
+        if liveness.phase is before:
+            return
+        now = self._clock.now()
+        self._log_phase(run.instance, source, now)
+        self._on_change(now)
+
+    def mark_unreachable(self) -> None:
+        """Mark the backend server as unreachable: connections are refused."""
+        now = self._clock.now()
+        self._gate.liveness.mark_unreachable()
+        self._log_phase(self._gate.instance, 'connection refused', now)
+        self._on_change(now)
+
+    def _log_phase(self, instance: str, reason: str, now: float) -> None:
+        self._log.record(
+            'backend-server',
+            now,
+            instance=instance,
+            phase=self._gate.liveness.phase.value,
+            reason=reason,
+        )
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -20,6 +20,7 @@
     NotRun,
     render_headers,
 )
+from mustardshunt.sidecar._backend_server_reports import BackendServerReports
 from mustardshunt.sidecar._dependencies import (
     NO_DEPENDENCY,
     DependencyCutoff,
@@ -34,7 +35,6 @@
     BackendGate,
     BackendServerStatus,
     DequeuedCalls,
-    Heartbeat,
     ServerPhase,
 )
 
@@ -90,6 +90,9 @@
         self.dependency = NO_DEPENDENCY
         self._dependent_routes = DependentRoutes()
         self.is_leaving = False
+        self.reports = BackendServerReports(
+            gate, log, clock, self._handle_status_change
+        )
 
     def in_flight(self) -> int:
         """Return the number of calls that are queued or running."""
@@ -163,82 +166,6 @@
         served.sink.deliver(served.call.number, result)
         self._apply(dequeued)
 
-    def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
-        """Update the state of the backend server from its heartbeat.
-
-        Also logs a change of the instance or of its phase.
-
-        Returns
-        -------
-        bool
-            False if the heartbeat is outdated and was ignored.
-        """
-        now = self.clock.now()
-        current = self.gate.liveness.current
-        before = (self.gate.instance, self.gate.liveness.phase)
-        if not self.gate.record_heartbeat(heartbeat, now):
-            self._log.record(
-                'report-ignored',
-                now,
-                instance=heartbeat.instance,
-                phase=heartbeat.phase.value,
-                started_at=heartbeat.started_at,
-                sequence=heartbeat.sequence,
-                current=current,
-                current_phase=before[1].value,
-            )
-            return False
-        after = (self.gate.instance, self.gate.liveness.phase)
-        if before != after:
-            self._log.record(
-                'backend-server',
-                now,
-                instance=heartbeat.instance,
-                phase=heartbeat.phase.value,
-                before=before[1].value,
-                started_at=heartbeat.started_at,
-                sequence=heartbeat.sequence,
-                slots=heartbeat.slots,
-                cold_for=heartbeat.cold_for,
-            )
-        self._handle_status_change(now)
-        return True
-
-    def leave(self, instance: str) -> None:
-        """Mark an instance of the backend server as departed, and log it."""
-        now = self.clock.now()
-        if self.gate.liveness.deregister(instance):
-            self._log.record(
-                'backend-server',
-                now,
-                instance=instance,
-                phase='gone',
-                reason='backend server has deregistered',
-            )
-        else:
-            self._log.record(
-                'report-ignored',
-                now,
-                instance=instance,
-                phase='gone',
-                current=self.gate.liveness.current,
-                current_phase=self.gate.liveness.phase.value,
-            )
-        self._handle_status_change(now)
-
-    def mark_server_lost(self) -> None:
-        """Mark the backend server as unreachable: connections are refused."""
-        now = self.clock.now()
-        self.gate.liveness.mark_unreachable()
-        self._log.record(
-            'backend-server',
-            now,
-            instance=self.gate.instance,
-            phase=self.gate.liveness.phase.value,
-            reason='connection refused',
-        )
-        self._handle_status_change(now)
-
     def set_evacuated(self, is_evacuated: bool) -> None:
         """Evacuate the backend server, or return it to service."""
         now = self.clock.now()
--- a/mustardshunt/sidecar/_control.py
+++ b/mustardshunt/sidecar/_control.py
@@ -4,7 +4,7 @@
 from typing import Final, Protocol
 
 from mustardshunt.relay import HttpRequest, HttpResponse
-from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._backend_server_reports import BackendServerReports
 from mustardshunt.sidecar._lifecycle import SidecarLifecycle
 from mustardshunt.sidecar._metrics import SidecarMetrics
 from mustardshunt.upstream import Heartbeat
@@ -98,13 +98,15 @@
     ----------
     codec : HeartbeatCodec
         Parses the requests.
-    callee : Callee
+    reports : BackendServerReports
         Handles the parsed heartbeats and departures.
     """
 
-    def __init__(self, codec: HeartbeatCodec, callee: Callee) -> None:
+    def __init__(
+        self, codec: HeartbeatCodec, reports: BackendServerReports
+    ) -> None:
         self._codec = codec
-        self._callee = callee
+        self._reports = reports
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle and acknowledge a heartbeat or a departure.
@@ -113,11 +115,11 @@
         """
         heartbeat = self._codec.read_heartbeat(request)
         if heartbeat is not None:
-            self._callee.handle_heartbeat(heartbeat)
+            self._reports.handle_heartbeat(heartbeat)
             return self._codec.acknowledge()
         instance = self._codec.read_departure(request)
         if instance is not None:
-            self._callee.leave(instance)
+            self._reports.deregister(instance)
             return self._codec.acknowledge()
         return self._codec.reject(request)
 
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -243,7 +243,7 @@
         self._callers = HttpServer(self._ingress, self._request_limits)
         self._ready = HttpServer(ReadyHandler(self._lifecycle), RequestLimits)
         self._control = HttpServer(
-            HeartbeatHandler(adapter.heartbeat_codec, self._callee),
+            HeartbeatHandler(adapter.heartbeat_codec, self._callee.reports),
             RequestLimits,
         )
         self._metrics_server = HttpServer(
@@ -401,7 +401,7 @@
         self._relay.set_members(by_name)
 
     def _mark_server_lost(self) -> None:
-        self._callee.mark_server_lost()
+        self._callee.reports.mark_unreachable()
 
     def _reload(self) -> None:
         if self._file is None:
--- a/mustardshunt/upstream/__init__.py
+++ b/mustardshunt/upstream/__init__.py
@@ -12,8 +12,10 @@
     Heartbeat,
     RefusedCall,
     ServerPhase,
+    ServerRun,
 )
 from mustardshunt.upstream._gate import BackendGate, make_backend_gate
+from mustardshunt.upstream._leaving_runs import LeavingRuns
 
 __all__ = [
     'AdmissionDecision',
@@ -22,7 +24,9 @@
     'BackendServerStatus',
     'DequeuedCalls',
     'Heartbeat',
+    'LeavingRuns',
     'RefusedCall',
     'ServerPhase',
+    'ServerRun',
     'make_backend_gate',
 ]
--- a/mustardshunt/upstream/_events.py
+++ b/mustardshunt/upstream/_events.py
@@ -16,6 +16,23 @@
     GONE = 'gone'
 
 
+@dataclass(frozen=True, slots=True)
+class ServerRun:
+    """One process of a backend server, from its start to its end.
+
+    Parameters
+    ----------
+    instance : str
+        Identifier of the process; a restarted process may have the same one.
+    started_at : int or None
+        Time on the backend server's clock at which the process started, in
+        milliseconds. None if the time is unknown.
+    """
+
+    instance: str
+    started_at: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Periodic report that a backend server sends to its node.
@@ -44,6 +61,11 @@
     slots: int
     cold_for: float
 
+    @property
+    def run(self) -> ServerRun:
+        """Process that sent the heartbeat."""
+        return ServerRun(self.instance, self.started_at)
+
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRequest:
@@ -133,6 +155,11 @@
     own_cutoff : float
         Cutoff for calls that make no child calls. Only the overload of this
         backend server lowers this cutoff.
+    run : ServerRun or None, default=None
+        Process of the backend server, None if the node knows none.
+    is_leaving : bool, default=False
+        Whether the process has announced that it leaves. Unlike the phase, this
+        is never taken back for the same process.
     """
 
     phase: ServerPhase
@@ -142,3 +169,5 @@
     cutoff: float
     hops: int = 0
     own_cutoff: float = float('inf')
+    run: ServerRun | None = None
+    is_leaving: bool = False
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -249,6 +249,7 @@
         During an evacuation, the phase of a ready backend server is
         ``DRAINING``.
         """
+        current = self.liveness.current
         phase = self.liveness.phase
         if self._is_evacuated and phase is ServerPhase.READY:
             phase = ServerPhase.DRAINING
@@ -259,6 +260,8 @@
             limit=self.limit(),
             cutoff=self.cutoff.value,
             own_cutoff=self.cutoff.value,
+            run=None if current is None else current.run,
+            is_leaving=self.liveness.is_leaving,
         )
 
     def _has_capacity(self, now: float) -> bool:
@@ -289,7 +292,9 @@
         self._cold_start_rate.record(now)
 
     def _start_queued(self, now: float) -> tuple[AdmissionRequest, ...]:
-        started = []
+        started: list[AdmissionRequest] = []
+        if not self.is_open():
+            return ()
         while len(self._queue) and self._has_capacity(now):
             request = self._queue.pop()
             if request is None:
--- a/mustardshunt/upstream/_liveness.py
+++ b/mustardshunt/upstream/_liveness.py
@@ -3,7 +3,8 @@
 from collections import OrderedDict
 from typing import Final
 
-from mustardshunt.upstream._events import Heartbeat, ServerPhase
+from mustardshunt.upstream._events import Heartbeat, ServerPhase, ServerRun
+from mustardshunt.upstream._leaving_runs import LeavingRuns
 
 # Most consecutive heartbeats that may be missing while the backend server still
 # counts as present. If one more is missing, the backend server counts as gone.
@@ -11,6 +12,10 @@
 # Most ended processes of a backend server whose identifiers are stored. Late
 # heartbeats of these processes are ignored.
 MAX_ENDED_RUNS: Final = 64
+# Time for which no process is used under an identifier that was deregistered
+# before the node knew its process. Reports of that process may still arrive
+# within some seconds, and cannot be told from those of a restarted process.
+UNKNOWN_DEREGISTRATION_SECONDS: Final = 10.0
 
 
 class LivenessTracker:
@@ -18,7 +23,8 @@
 
     Heartbeats can arrive late and out of order. A heartbeat may even arrive
     after its process has crashed and another process has started. Outdated
-    heartbeats are ignored.
+    heartbeats are ignored. Only an announcement that the process leaves counts
+    whenever it arrives, and no later heartbeat of the process takes it back.
 
     Parameters
     ----------
@@ -34,6 +40,15 @@
         self._started_at_by_ended_run: OrderedDict[str, int | None] = (
             OrderedDict()
         )
+        self._leaving_runs = LeavingRuns(MAX_ENDED_RUNS)
+        self._barred_until_by_instance: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the current process has announced that it leaves."""
+        return self.current is not None and (
+            self.current.run in self._leaving_runs
+        )
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat and the phase that the heartbeat reports.
@@ -55,38 +70,65 @@
             ignored: the process that sent the heartbeat has ended, or a newer
             heartbeat has arrived before.
         """
+        if heartbeat.phase is ServerPhase.DRAINING:
+            self.mark_leaving(heartbeat.run)
         if self._is_outdated(heartbeat):
             return False
+        if self._barred_until_by_instance.get(heartbeat.instance, now) > now:
+            return False
         current = self.current
-        if current is not None and not _is_same_run(current, heartbeat):
+        if current is not None and current.run != heartbeat.run:
             self._record_end(current)
         self._started_at_by_ended_run.pop(heartbeat.instance, None)
         self.current = heartbeat
         self.phase = heartbeat.phase
+        if self.is_leaving:
+            self.phase = ServerPhase.DRAINING
         self._last_heartbeat_at = now
         return True
 
-    def deregister(self, instance: str) -> bool:
+    def mark_leaving(self, run: ServerRun) -> None:
+        """Record that a process leaves; it gets no calls from now on.
+
+        Parameters
+        ----------
+        run : ServerRun
+            The process, which need not be the current one.
+        """
+        self._leaving_runs.add(run)
+        if self.is_leaving and self.phase is ServerPhase.READY:
+            self.phase = ServerPhase.DRAINING
+
+    def deregister(self, instance: str, now: float) -> bool:
         """Mark the backend server as gone after its process has deregistered.
 
         Parameters
         ----------
         instance : str
             Identifier of the process.
+        now : float
+            Time in seconds.
 
         Returns
         -------
         bool
             True if the backend server was marked as gone. False if the process
-            is not the current process of the backend server; the
-            deregistration is then ignored.
+            is not the current process of the backend server. If the node has
+            never known the process, its late heartbeats are then ignored.
         """
         current = self.current
-        if current is None or current.instance != instance:
-            return False
-        self._record_end(current)
-        self.phase = ServerPhase.GONE
-        return True
+        if current is not None and current.instance == instance:
+            self._leaving_runs.add(current.run)
+            self._record_end(current)
+            self.phase = ServerPhase.GONE
+            return True
+        if instance not in self._started_at_by_ended_run:
+            self._barred_until_by_instance[instance] = (
+                now + UNKNOWN_DEREGISTRATION_SECONDS
+            )
+            if len(self._barred_until_by_instance) > MAX_ENDED_RUNS:
+                self._barred_until_by_instance.popitem(last=False)
+        return False
 
     def mark_unreachable(self) -> None:
         """Mark a ready backend server as gone: it refuses connections.
@@ -134,10 +176,6 @@
             self._started_at_by_ended_run.popitem(last=False)
 
 
-def _is_same_run(one: Heartbeat, other: Heartbeat) -> bool:
-    return one.instance == other.instance and one.started_at == other.started_at
-
-
 def _is_later(one: int | None, other: int | None) -> bool:
     if one is None or other is None:
         return False
--- a/mustardshunt/upstream/tests/test_gate.py
+++ b/mustardshunt/upstream/tests/test_gate.py
@@ -59,7 +59,7 @@
     A late heartbeat of this process must not open the gate again.
     """
     gate = make_open_gate()
-    gate.liveness.deregister('i-1')
+    gate.liveness.deregister('i-1', 0.5)
     assert not gate.record_heartbeat(make_heartbeat(sequence=9), 1.0)
     assert gate.admit(make_request('a'), 1.0) is Reason.NOT_READY
 
