Tell a restarted node that its backend server leaves

Cause: only the memory of that process knew of the leaving; entry nodes kept the phase of the last status, which a restarted node publishes anew.

Change: the published status names the run of the backend server and whether it leaves. Entry nodes remember leaving runs, do not choose them again, and report them on the link to a node that calls such a run ready, before their next call.

Ruled out: a row in the store for each leaving, which costs a write each and is read only after a restart.

--- a/mustardshunt/load_balancing/_balancer.py
+++ b/mustardshunt/load_balancing/_balancer.py
@@ -6,7 +6,11 @@
 
 from mustardshunt.base import RandomSource
 from mustardshunt.load_balancing._members import Member, MemberLoad
-from mustardshunt.upstream import BackendServerStatus, ServerPhase
+from mustardshunt.upstream import (
+    BackendServerStatus,
+    LeavingRuns,
+    ServerPhase,
+)
 
 # Additional cost of a backend server in another data centre. All costs are in
 # units of utilisation; 1 is a fully used backend server. Traffic between data
@@ -41,6 +45,9 @@
 # member that was avoided because of failures or high latency therefore gets
 # calls again.
 HALF_LIFE_SECONDS: Final = 2.0
+# Leaving backend servers that a node remembers. At the design size, fewer leave
+# in a day.
+MAX_LEAVING_RUNS: Final = 1024
 
 
 class LoadBalancer:
@@ -73,6 +80,7 @@
         self._candidate_names: Collection[str] | None = None
         self._evacuated_data_centres: frozenset[str] = frozenset()
         self._typical_latency_by_route: dict[str, float] = {}
+        self._leaving_runs = LeavingRuns(MAX_LEAVING_RUNS)
 
     def set_members(self, members: Iterable[Member]) -> None:
         """Replace the members to which calls can be sent.
@@ -118,6 +126,9 @@
     def update_status(self, name: str, status: BackendServerStatus) -> None:
         """Record the published status of a member's backend server.
 
+        A backend server that has announced its leaving gets no calls, also when
+        a later status, such as that of a restarted node, does not say so.
+
         Parameters
         ----------
         name : str
@@ -125,13 +136,23 @@
         status : BackendServerStatus
             Status that the member has published.
         """
+        if status.is_leaving and status.run is not None:
+            self._leaving_runs.add(status.run)
         load = self._load_by_name.get(name)
         if load is None:
             return
+        if self.knows_leaving(status):
+            status = replace(
+                status, phase=ServerPhase.DRAINING, is_leaving=True
+            )
         load.status = status
         load.is_connected = True
         self.update_load(load, status.in_flight, status.cutoff)
 
+    def knows_leaving(self, status: BackendServerStatus) -> bool:
+        """Tell whether the run of a status leaves, unlike the status says."""
+        return not status.is_leaving and status.run in self._leaving_runs
+
     def update_load(
         self,
         load: MemberLoad,
--- a/mustardshunt/relay/_frame_types.py
+++ b/mustardshunt/relay/_frame_types.py
@@ -58,6 +58,12 @@
         Cutoff for calls of routes without dependencies.
     revision : int
         Revision of the newest operator change that the node knows.
+    instance : str, default=''
+        Identifier of the backend server's process, empty if unknown.
+    started_at : int, default=-1
+        Start of this process in milliseconds, -1 if unknown.
+    is_leaving : bool, default=False
+        Whether this process has announced that it leaves.
     """
 
     name: str
@@ -70,6 +76,27 @@
     hops: int
     own_cutoff: float
     revision: int
+    instance: str = ''
+    started_at: int = -1
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLeaving:
+    """Tells a node that its backend server leaves.
+
+    A node that was restarted does not know what it published before.
+
+    Parameters
+    ----------
+    instance : str
+        Identifier of the backend server's process.
+    started_at : int
+        Start of this process in milliseconds, -1 if unknown.
+    """
+
+    instance: str
+    started_at: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -369,4 +396,5 @@
     | MemberState
     | TokenRequestFrame
     | TokenGrantFrame
+    | ServerLeaving
 )
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -22,6 +22,7 @@
     OperatorState,
     Ping,
     Pong,
+    ServerLeaving,
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
@@ -50,6 +51,7 @@
     MemberState,
     TokenRequestFrame,
     TokenGrantFrame,
+    ServerLeaving,
 )
 _TYPE_BY_NAME: Final = {
     'str': str,
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -15,6 +15,7 @@
 from mustardshunt.relay import (
     BackendServerStatusUpdate,
     OperatorState,
+    ServerLeaving,
     TokenGrantFrame,
 )
 from mustardshunt.sidecar._callee import Callee
@@ -23,6 +24,7 @@
 from mustardshunt.sidecar._ports import OperatorUpdate
 from mustardshunt.sidecar._rate_limiter import RateLimiter
 from mustardshunt.sidecar._retry_budget import make_node_caps
+from mustardshunt.sidecar._server_run_codec import decode_run
 from mustardshunt.sidecar._settings import BoundsSection
 from mustardshunt.upstream import BackendServerStatus, ServerPhase
 
@@ -165,10 +167,20 @@
             update.cutoff,
             update.hops,
             update.own_cutoff,
+            decode_run(update.instance, update.started_at),
+            update.is_leaving,
         )
-        self._components.balancer.update_status(name, status)
-        if self._links is not None:
-            self._links.set_usable(name, status.phase is ServerPhase.READY)
+        balancer = self._components.balancer
+        balancer.update_status(name, status)
+        if self._links is None:
+            return
+        is_left_out = balancer.knows_leaving(status)
+        self._links.set_usable(
+            name, status.phase is ServerPhase.READY and not is_left_out
+        )
+        link = self._links.find(name)
+        if is_left_out and link is not None:
+            link.send(ServerLeaving(update.instance, update.started_at))
 
     def peer_lost(self, name: str) -> None:
         """Exclude a peer from load balancing until its link is open again."""
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -23,12 +23,14 @@
     OperatorState,
     Ping,
     Pong,
+    ServerLeaving,
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
     listen,
 )
 from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._server_run_codec import decode_run
 from mustardshunt.upstream import AdmissionRequest
 
 # Time within which a sending node must reconnect after a lost link. A sender
@@ -349,18 +351,31 @@
                 stream.send(Pong(*self._services.relay.changes()))
             case CallStatusRequest():
                 session.report_call_statuses(frame.numbers)
-            case TokenRequestFrame():
-                amount = self._services.tokens.grant(
-                    frame.organisation, session.name, frame.wanted
-                )
-                stream.send(TokenGrantFrame(frame.organisation, amount))
-            case TokenGrantFrame():
-                self._services.tokens.take_back(
-                    frame.organisation, frame.amount
-                )
+            case TokenRequestFrame() | TokenGrantFrame():
+                self._handle_tokens(frame, session.name, stream)
+            case ServerLeaving():
+                self._handle_leaving(frame, session.name)
             case StateRequest() | OperatorState() | MemberState():
                 self._handle_state(frame, stream)
 
+    def _handle_tokens(
+        self,
+        frame: TokenRequestFrame | TokenGrantFrame,
+        name: str,
+        stream: FrameStream,
+    ) -> None:
+        tokens = self._services.tokens
+        if isinstance(frame, TokenGrantFrame):
+            tokens.take_back(frame.organisation, frame.amount)
+            return
+        amount = tokens.grant(frame.organisation, name, frame.wanted)
+        stream.send(TokenGrantFrame(frame.organisation, amount))
+
+    def _handle_leaving(self, frame: ServerLeaving, name: str) -> None:
+        run = decode_run(frame.instance, frame.started_at)
+        if run is not None:
+            self._callee.reports.mark_leaving(run, f'report of {name}')
+
     def _handle_state(
         self,
         frame: StateRequest | OperatorState | MemberState,
--- /dev/null
+++ b/mustardshunt/sidecar/_server_run_codec.py
@@ -0,0 +1,40 @@
+"""Codec of the run of a backend server in the fields of frames."""
+
+from typing import Final
+
+from mustardshunt.upstream import ServerRun
+
+# Stands for an unknown start time, since the fields of frames have one type.
+_UNKNOWN_START: Final = -1
+
+
+def encode_run(run: ServerRun | None) -> tuple[str, int]:
+    """Return the instance and the start of a run.
+
+    Examples
+    --------
+    >>> encode_run(ServerRun('i-1', None))
+    ('i-1', -1)
+    >>> encode_run(None)
+    ('', -1)
+    """
+    if run is None:
+        return '', _UNKNOWN_START
+    if run.started_at is None:
+        return run.instance, _UNKNOWN_START
+    return run.instance, run.started_at
+
+
+def decode_run(instance: str, started_at: int) -> ServerRun | None:
+    """Return the run that two fields name, None if they name no run.
+
+    Examples
+    --------
+    >>> decode_run('i-1', -1)
+    ServerRun(instance='i-1', started_at=None)
+    """
+    if not instance:
+        return None
+    return ServerRun(
+        instance, None if started_at == _UNKNOWN_START else started_at
+    )
--- a/mustardshunt/sidecar/_status_publisher.py
+++ b/mustardshunt/sidecar/_status_publisher.py
@@ -8,6 +8,7 @@
     BackendServerStatusUpdate,
     NotRun,
 )
+from mustardshunt.sidecar._server_run_codec import encode_run
 from mustardshunt.upstream import BackendServerStatus
 
 # Shortest time between the last update and an update that reports only a
@@ -90,6 +91,7 @@
     def _make_update(
         self, status: BackendServerStatus
     ) -> BackendServerStatusUpdate:
+        instance, started_at = encode_run(status.run)
         return BackendServerStatusUpdate(
             self._name,
             self._incarnation,
@@ -101,6 +103,9 @@
             status.hops,
             status.own_cutoff,
             self.revision,
+            instance,
+            started_at,
+            status.is_leaving,
         )
 
 
@@ -110,7 +115,7 @@
     return (
         published.phase is not status.phase
         or published.is_cold != status.is_cold
-        or published.limit != status.limit
+        or _has_other_server(published, status)
         # A lower cutoff is urgent: until other nodes know it, they send calls
         # that the old cutoff admits, and these add to the overload.
         or published.cutoff - status.cutoff >= MIN_CUTOFF_CHANGE
@@ -118,6 +123,16 @@
     )
 
 
+def _has_other_server(
+    published: BackendServerStatus, status: BackendServerStatus
+) -> bool:
+    return (published.run, published.is_leaving, published.limit) != (
+        status.run,
+        status.is_leaving,
+        status.limit,
+    )
+
+
 def _has_changed_enough(
     published: BackendServerStatus, status: BackendServerStatus
 ) -> bool:
--- a/mustardshunt/standin/sidecar_backend_server.py
+++ b/mustardshunt/standin/sidecar_backend_server.py
@@ -122,6 +122,26 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def pause_heartbeats(self) -> None:
+        """Send no more heartbeats; requests are served as before."""
+        if self._heartbeat_task is not None:
+            self._heartbeat_task.cancel()
+
+    async def report(self, state: str, sequence: int) -> None:
+        """Send one heartbeat, such as one that was delayed on its way.
+
+        Parameters
+        ----------
+        state : str
+            Reported state, ``ready`` or ``draining``.
+        sequence : int
+            Reported sequence number.
+        """
+        self.state = state
+        self._heartbeat_sequence = sequence - 1
+        async with ClientSession() as session:
+            await self._send_heartbeat(session)
+
     async def deregister(self) -> int:
         """Deregister this instance at the node and return the HTTP status."""
         async with (
