Read the limit that a backend server names, and log it

Change: the header Server-Limit is read beside the other headers of an answer; NamedLimit knows the limit of the current run and what ends it; one log line for each change, one for each malformed header, and a figure of mustardshunt_gate. The limit has no effect yet. A malformed value is neither a limit nor the end of one.

--- a/mustardshunt/platform/_header_codec.py
+++ b/mustardshunt/platform/_header_codec.py
@@ -1,6 +1,7 @@
 """Codec of the platform's HTTP headers."""
 
 import math
+import re
 from typing import Final
 
 from mustardshunt.platform._names import (
@@ -12,8 +13,10 @@
     NOT_EXECUTED_HEADER,
     ORGANISATION_HEADER,
     REQUEST_ID_HEADER,
+    REQUEST_LIMIT_HEADER,
     RESPONSE_STAMP_HEADER,
 )
+from mustardshunt.platform._values import MalformedError, parse_number
 from mustardshunt.relay import (
     AnswerHead,
     Call,
@@ -23,6 +26,9 @@
 )
 from mustardshunt.sidecar import AnswerMetadata, RequestMetadata
 
+# Longest part of a malformed header that an error message quotes.
+MAX_QUOTED_BYTES: Final = 40
+_DECIMAL_NUMBER: Final = re.compile(rb'[0-9]{1,20}(\.[0-9]{1,20})?')
 _MS_PER_SECOND: Final = 1000.0
 _MISDIRECTED_REQUEST: Final = 421
 # Keys of the headers of a request or an answer.
@@ -32,6 +38,7 @@
 _RESPONSE_STAMP: Final = RESPONSE_STAMP_HEADER.lower().encode()
 _NOT_EXECUTED: Final = NOT_EXECUTED_HEADER.lower().encode()
 _CONTENT_ENCODING: Final = b'content-encoding'
+_REQUEST_LIMIT: Final = REQUEST_LIMIT_HEADER.lower().encode()
 
 
 class PlatformHeaderCodec:
@@ -107,17 +114,39 @@
 
         They tell whether the backend server made the answer, whether the
         request was run, and whether the request reached the expected run of the
-        backend server.
+        backend server. They also name the limit of the backend server.
         """
         names = {lower_name(header[0]) for header in headers}
+        request_limit = None
+        malformed = ''
+        if _REQUEST_LIMIT in names:
+            try:
+                request_limit = _read_request_limit(headers)
+            except MalformedError as error:
+                malformed = str(error)
         return AnswerMetadata(
             is_stamped=_RESPONSE_STAMP in names,
             says_not_run=_NOT_EXECUTED in names,
             is_wrong_instance=status == _MISDIRECTED_REQUEST,
             is_encoded=_CONTENT_ENCODING in names,
+            request_limit=request_limit,
+            malformed=malformed,
         )
 
 
+def _read_request_limit(headers: RawHeaders) -> float:
+    texts = [
+        text for name, text in headers if lower_name(name) == _REQUEST_LIMIT
+    ]
+    found = b', '.join(texts)
+    if len(texts) > 1 or not _DECIMAL_NUMBER.fullmatch(found):
+        raise MalformedError(
+            f'{REQUEST_LIMIT_HEADER}: expected one decimal number, '
+            f'found {found[:MAX_QUOTED_BYTES]!r}'
+        )
+    return parse_number(found.decode(), REQUEST_LIMIT_HEADER)
+
+
 def _parse_milliseconds(text: str | None) -> float | None:
     if text is None:
         return None
--- a/mustardshunt/platform/_names.py
+++ b/mustardshunt/platform/_names.py
@@ -14,6 +14,9 @@
 # A backend server sets this header when it refuses a request without running
 # the request.
 NOT_EXECUTED_HEADER: Final = 'Mustardshunt-Not-Executed'
+# A backend server in need names in this header of its answers the requests a
+# second that it takes from all nodes together.
+REQUEST_LIMIT_HEADER: Final = 'Server-Limit'
 AUTHORIZATION_HEADER: Final = 'Authorization'
 BEARER_PREFIX: Final = 'Bearer '
 
--- a/mustardshunt/platform/_values.py
+++ b/mustardshunt/platform/_values.py
@@ -136,13 +136,20 @@
     if isinstance(found, str):
         for unit, seconds in _SECONDS_BY_UNIT.items():
             if found.endswith(unit):
-                return _parse_number(found.removesuffix(unit), name) * seconds
+                return parse_number(found.removesuffix(unit), name) * seconds
     raise MalformedError(
         f'{name}: expected a time such as 1500ms or 2.5s, found {found!r}',
     )
 
 
-def _parse_number(text: str, name: str) -> float:
+def parse_number(text: str, name: str) -> float:
+    """Return the number of 0 to ``MAX_NUMBER`` that a text holds.
+
+    Raises
+    ------
+    MalformedError
+        The text is no number, or the number is out of range.
+    """
     try:
         number = float(text)
     except ValueError as error:
--- a/mustardshunt/platform/tests/test_translation.py
+++ b/mustardshunt/platform/tests/test_translation.py
@@ -164,6 +164,45 @@
     assert header_codec.read_answer(200, encoded).is_encoded
 
 
+@pytest.mark.parametrize(
+    ('texts', 'rate'), [(['31.25'], 31.25), (['0'], 0.0), ([], None)]
+)
+def test_limit_that_a_server_names_is_read(
+    texts: list[str], rate: float | None
+):
+    # A limit that is not read would leave a backend server in need with the
+    # load that it cannot bear.
+    headers = tuple((b'server-limit', text.encode()) for text in texts)
+    metadata = PlatformHeaderCodec().read_answer(200, headers)
+    assert (metadata.request_limit, metadata.malformed) == (rate, '')
+
+
+@pytest.mark.parametrize(
+    'texts',
+    [
+        ['-1'],
+        ['nan'],
+        ['inf'],
+        ['1e400'],
+        ['9' * 400],
+        ['9' * 20],
+        [''],
+        ['20', '20'],
+        ['20, 20'],
+        ['20 requests'],
+        ['\u0663'],
+        ['1.'],
+        ['+1'],
+    ],
+)
+def test_malformed_limit_is_left_out(texts: list[str]):
+    # A malformed limit must not be taken for a limit, nor for its end.
+    headers = tuple((b'Server-Limit', text.encode()) for text in texts)
+    metadata = PlatformHeaderCodec().read_answer(200, headers)
+    assert metadata.request_limit is None
+    assert 'Server-Limit' in metadata.malformed
+
+
 @pytest.mark.parametrize('text', ['5', '5m', 'xs', '-1s', 5])
 def test_time_without_number_or_unit_is_malformed(text: object):
     # A number without a unit or with an unknown unit must be rejected, and not
--- a/mustardshunt/sidecar/_backend_server_reports.py
+++ b/mustardshunt/sidecar/_backend_server_reports.py
@@ -4,14 +4,16 @@
 
 from mustardshunt.base import Clock
 from mustardshunt.observability import EventLog
+from mustardshunt.sidecar._ports import AnswerMetadata
 from mustardshunt.upstream import BackendGate, Heartbeat, ServerRun
 
 
 class BackendServerReports:
     """Reports about the backend server beside this node.
 
-    The backend server itself sends heartbeats and deregistrations. Other nodes
-    report what a restarted node has forgotten.
+    The backend server itself sends heartbeats and deregistrations, and says in
+    its answers what it needs. Other nodes report what a restarted node has
+    forgotten.
 
     Parameters
     ----------
@@ -90,6 +92,47 @@
             )
         self._on_change(now)
 
+    def handle_answer(
+        self, run: ServerRun | None, sent_at: float, metadata: AnswerMetadata
+    ) -> None:
+        """Apply what an answer says about the backend server, and log it.
+
+        Parameters
+        ----------
+        run : ServerRun or None
+            Run of the backend server to which the call was sent.
+        sent_at : float
+            Time in seconds at which the call was sent.
+        metadata : AnswerMetadata
+            What the headers of the answer say.
+        """
+        if metadata.is_wrong_instance:
+            return
+        now = self._clock.now()
+        if metadata.malformed:
+            self._log.record(
+                'answer-header-ignored',
+                now,
+                instance=self._gate.instance,
+                error=metadata.malformed,
+            )
+            return
+        limit = self._gate.named_limit
+        before = limit.rate
+        if metadata.request_limit is not None:
+            limit.record_named(run, metadata.request_limit, now)
+        elif metadata.is_stamped:
+            limit.record_unnamed(run, sent_at)
+        if limit.rate != before:
+            self._log.record(
+                'request-limit',
+                now,
+                instance=self._gate.instance,
+                rate=limit.rate,
+                before=before,
+            )
+            self._on_change(now)
+
     def mark_leaving(self, run: ServerRun, source: str) -> None:
         """Stop calls to a run of the backend server, which leaves.
 
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -26,7 +26,7 @@
     DependencyCutoff,
 )
 from mustardshunt.sidecar._dependent_routes import DependentRoutes
-from mustardshunt.sidecar._ports import HeaderCodec
+from mustardshunt.sidecar._ports import AnswerMetadata, HeaderCodec
 from mustardshunt.sidecar._served_call import MS_PER_SECOND, ServedCall
 from mustardshunt.sidecar._status_publisher import ResultSink, StatusPublisher
 from mustardshunt.upstream import (
@@ -157,8 +157,18 @@
         """Deliver the result of an ended call and start queued calls."""
         if served.is_done:
             return
-        dequeued = self._release(served)
-        result = self._make_result(served, outcome)
+        if isinstance(outcome, BackendAnswer):
+            metadata = self.header_codec.read_answer(
+                outcome.status, outcome.raw_headers
+            )
+            # What the answer says about the backend server holds for the queued
+            # calls that its end starts.
+            self.reports.handle_answer(served.run, served.sent_at, metadata)
+            dequeued = self._release(served)
+            result = self._make_answer_result(served, outcome, metadata)
+        else:
+            dequeued = self._release(served)
+            result = self._make_failure_result(served, outcome)
         is_overloaded = self.dependency.cutoff < self.gate.cutoff.maximum
         if is_overloaded and not isinstance(result, NotRun):
             route = served.call.route
@@ -228,28 +238,24 @@
             status = replace(status, phase=ServerPhase.DRAINING)
         return status
 
-    def _make_result(
+    def _make_failure_result(
         self,
         served: ServedCall,
-        outcome: BackendOutcome,
-    ) -> Answered | NotRun | AnswerLost:
+        failure: BackendFailure,
+    ) -> NotRun | AnswerLost:
         number = served.call.number
-        if isinstance(outcome, BackendFailure):
-            if not outcome.has_begun:
-                return self._not_run(number, Reason.NOT_READY)
-            self._log_loss(served, outcome.kind.value)
-            return AnswerLost(number, outcome.kind.value)
-        return self._make_answer_result(served, outcome)
+        if not failure.has_begun:
+            return self._not_run(number, Reason.NOT_READY)
+        self._log_loss(served, failure.kind.value)
+        return AnswerLost(number, failure.kind.value)
 
     def _make_answer_result(
         self,
         served: ServedCall,
         answer: BackendAnswer,
+        metadata: AnswerMetadata,
     ) -> Answered | NotRun | AnswerLost:
         number = served.call.number
-        metadata = self.header_codec.read_answer(
-            answer.status, answer.raw_headers
-        )
         if metadata.is_wrong_instance:
             self.gate.liveness.mark_unreachable()
             return self._not_run(number, Reason.NOT_READY)
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -1,6 +1,7 @@
 """Assembly, start and stop of one sidecar process."""
 
 import asyncio
+import math
 import random
 import secrets
 import signal
@@ -436,6 +437,11 @@
         gate.labels('in_flight').set(status.in_flight)
         gate.labels('limit').set(status.limit)
         gate.labels('cutoff').set(status.cutoff)
+        gate.labels('request_limit').set(
+            math.nan
+            if self._callee.gate.named_limit.rate is None
+            else self._callee.gate.named_limit.rate
+        )
         gate.labels('is_cold').set(status.is_cold)
         gate.labels('is_open').set(self._callee.gate.is_open())
         gate.labels('connections_opened').set(self._pool.opened)
--- a/mustardshunt/sidecar/_ports.py
+++ b/mustardshunt/sidecar/_ports.py
@@ -68,12 +68,20 @@
     is_encoded : bool
         Whether the body has a content encoding, which the backend server
         does not use.
+    request_limit : float or None
+        Requests a second that the backend server takes from all nodes together,
+        None if it names no limit.
+    malformed : str
+        What is wrong with a header about the backend server, empty if nothing
+        is. Such a header is left out.
     """
 
     is_stamped: bool
     says_not_run: bool
     is_wrong_instance: bool
     is_encoded: bool
+    request_limit: float | None
+    malformed: str
 
 
 class HeaderCodec(Protocol):
--- a/mustardshunt/sidecar/_served_call.py
+++ b/mustardshunt/sidecar/_served_call.py
@@ -6,7 +6,7 @@
 from mustardshunt.relay import AnswerHead, BackendOutcome, Call
 from mustardshunt.sidecar._ports import HeaderCodec
 from mustardshunt.sidecar._status_publisher import ResultSink
-from mustardshunt.upstream import AdmissionRequest, BackendGate
+from mustardshunt.upstream import AdmissionRequest, BackendGate, ServerRun
 
 MS_PER_SECOND: Final = 1000.0
 
@@ -32,6 +32,8 @@
         'connection',
         'deadline',
         'is_done',
+        'run',
+        'sent_at',
         'sink',
         'ticket',
     )
@@ -51,6 +53,8 @@
         self.deadline = deadline
         self.connection: Any = None
         self.is_done = False
+        self.run: ServerRun | None = None
+        self.sent_at = 0.0
 
     @property
     def expects_body(self) -> bool:
@@ -60,7 +64,9 @@
     def render(self) -> bytes:
         """Return the bytes of the HTTP request for the backend server."""
         call = self.call
-        remaining = self.deadline - self._owner.clock.now()
+        self.sent_at = self._owner.clock.now()
+        self.run = self._owner.gate.liveness.run
+        remaining = self.deadline - self.sent_at
         added_head = self._owner.header_codec.render_backend_headers(
             call,
             self._owner.gate.instance,
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -17,6 +17,7 @@
     ServerPhase,
 )
 from mustardshunt.upstream._liveness import LivenessTracker
+from mustardshunt.upstream._named_limit import NamedLimit
 from mustardshunt.upstream._queue import AdmissionQueue
 
 # Part of the slots of a backend server that its node uses. Backend servers
@@ -51,6 +52,7 @@
         self.liveness = liveness
         self.cutoff = Cutoff()
         self.started_calls = 0
+        self.named_limit = NamedLimit()
         self._cold_start_rate = ColdStartRateLimit()
         self._queue = AdmissionQueue()
         self._running: set[Hashable] = set()
@@ -117,6 +119,7 @@
         if not self.liveness.record_heartbeat(heartbeat, now):
             return False
         self._cold_until = now + heartbeat.cold_for
+        self.named_limit.set_run(heartbeat.run)
         return True
 
     def admit(
@@ -249,7 +252,6 @@
         During an evacuation, the phase of a ready backend server is
         ``DRAINING``.
         """
-        current = self.liveness.current
         phase = self.liveness.phase
         if self._is_evacuated and phase is ServerPhase.READY:
             phase = ServerPhase.DRAINING
@@ -260,7 +262,7 @@
             limit=self.limit(),
             cutoff=self.cutoff.value,
             own_cutoff=self.cutoff.value,
-            run=None if current is None else current.run,
+            run=self.liveness.run,
             is_leaving=self.liveness.is_leaving,
         )
 
--- a/mustardshunt/upstream/_liveness.py
+++ b/mustardshunt/upstream/_liveness.py
@@ -43,12 +43,15 @@
         self._leaving_runs = LeavingRuns(MAX_ENDED_RUNS)
         self._barred_until_by_instance: OrderedDict[str, float] = OrderedDict()
 
+    @property
+    def run(self) -> ServerRun | None:
+        """The current process, None if no heartbeat has arrived yet."""
+        return None if self.current is None else self.current.run
+
     @property
     def is_leaving(self) -> bool:
         """Whether the current process has announced that it leaves."""
-        return self.current is not None and (
-            self.current.run in self._leaving_runs
-        )
+        return self.run in self._leaving_runs
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat and the phase that the heartbeat reports.
