Start no more calls than a backend server's named limit allows

Cause: the header Server-Limit had no effect.

Change: the gate beside the backend server, which all calls of all nodes pass, starts calls by a token bucket of the named limit, from the first answer on: direct calls, child calls, queued calls and retries. The calls of the last second count against a new limit. A call that cannot start before its deadline is refused at once, so that another backend server can take it; such refusals do not lower the cutoff.

Ruled out: a share of the limit at each entry node, which holds in a cut only with unused shares, and needs all entry nodes to know each other.

--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -1,11 +1,10 @@
 """Gate of a node: all calls to the node's backend server pass through it."""
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from typing import Final
 
 from mustardshunt.base import Reason
 from mustardshunt.policy import ServicePolicy
-from mustardshunt.upstream._cold_start_rate import ColdStartRateLimit
 from mustardshunt.upstream._cutoff import Cutoff, CutoffDecrease
 from mustardshunt.upstream._events import (
     AdmissionDecision,
@@ -19,6 +18,7 @@
 from mustardshunt.upstream._liveness import LivenessTracker
 from mustardshunt.upstream._named_limit import NamedLimit
 from mustardshunt.upstream._queue import AdmissionQueue
+from mustardshunt.upstream._recent_starts import RecentStarts
 
 # Part of the slots of a backend server that its node uses. Backend servers
 # slow down when nearly all slots are in use. The remaining slots are also
@@ -40,7 +40,8 @@
     the backend server drains or is gone. The gate also starts no call while the
     data centre is evacuated, that is, while operators have taken the data
     centre out of service. During a cold start, the gate starts no more calls
-    than the rate limit allows.
+    than the rate limit allows, and at no time more than the limit that the
+    backend server itself names.
 
     Parameters
     ----------
@@ -52,8 +53,8 @@
         self.liveness = liveness
         self.cutoff = Cutoff()
         self.started_calls = 0
-        self.named_limit = NamedLimit()
-        self._cold_start_rate = ColdStartRateLimit()
+        self._recent_starts = RecentStarts()
+        self.named_limit = NamedLimit(self._recent_starts)
         self._queue = AdmissionQueue()
         self._running: set[Hashable] = set()
         self._service: ServicePolicy | None = None
@@ -103,7 +104,9 @@
             return DequeuedCalls()
         self._is_evacuated = is_evacuated
         if is_evacuated:
-            return self._refuse_all(Reason.DRAINING)
+            return DequeuedCalls(
+                refused=_refuse(self._queue.remove_all(), Reason.DRAINING)
+            )
         if self._service is not None:
             self._cold_until = now + self._service.warmup
         return DequeuedCalls()
@@ -147,9 +150,7 @@
             self._start(request, now)
             return AdmissionDecision.STARTED
         if not self._may_queue(request, now):
-            self.cutoff.record_refusal(
-                request.priority_rank, request.is_child_call
-            )
+            self._record_refusals((request,))
             return Reason.OVERLOADED
         self._queue.push(request, now)
         return AdmissionDecision.QUEUED
@@ -185,17 +186,13 @@
         """
         self.liveness.check_timeout(now)
         if not self.is_open():
-            return self._refuse_all(self.refusal_reason())
-        expired = self._queue.remove_expired(now)
-        for request in expired:
-            self.cutoff.record_refusal(
-                request.priority_rank, request.is_child_call
+            return DequeuedCalls(
+                refused=_refuse(self._queue.remove_all(), self.refusal_reason())
             )
-        refused = tuple(
-            RefusedCall(request, Reason.OVERLOADED) for request in expired
-        )
+        expired = self._queue.remove_expired(now)
+        self._record_refusals(expired)
         started = self._start_queued(now)
-        return DequeuedCalls(started, refused)
+        return DequeuedCalls(started, _refuse(expired, Reason.OVERLOADED))
 
     def adjust_cutoff(self, now: float) -> CutoffDecrease | None:
         """Adjust the cutoff to the current load; must be called every 0.1 s.
@@ -269,6 +266,8 @@
     def _has_capacity(self, now: float) -> bool:
         if len(self._running) >= self.limit():
             return False
+        if not self.named_limit.may_start(now):
+            return False
         if not self.is_cold(now):
             return True
         service = self._service
@@ -278,11 +277,17 @@
             return False
         if not service.cold_rate:
             return True
-        return self._cold_start_rate.remaining(service.cold_rate, now) > 0
+        return self._recent_starts.remaining(service.cold_rate, now) > 0
 
     def _may_queue(self, request: AdmissionRequest, now: float) -> bool:
         if request.start_deadline <= now:
             return False
+        limit = self.named_limit
+        if limit.rate is not None:
+            calls_before = self._queue.count_before(request)
+            wait = limit.seconds_until_start(calls_before, now)
+            if now + wait > request.start_deadline:
+                return False
         if request.is_child_call:
             return True
         queue_limit = max(MIN_QUEUE_LIMIT, self.limit() * QUEUE_LIMIT_RATIO)
@@ -291,7 +296,8 @@
     def _start(self, request: AdmissionRequest, now: float) -> None:
         self._running.add(request.key)
         self.started_calls += 1
-        self._cold_start_rate.record(now)
+        self._recent_starts.record(now)
+        self.named_limit.record_start(now)
 
     def _start_queued(self, now: float) -> tuple[AdmissionRequest, ...]:
         started: list[AdmissionRequest] = []
@@ -305,13 +311,21 @@
             started.append(request)
         return tuple(started)
 
-    def _refuse_all(self, reason: Reason) -> DequeuedCalls:
-        return DequeuedCalls(
-            refused=tuple(
-                RefusedCall(request, reason)
-                for request in self._queue.remove_all()
-            ),
-        )
+    def _record_refusals(self, requests: Iterable[AdmissionRequest]) -> None:
+        if self.named_limit.rate is not None:
+            # Other backend servers may take what a named limit refuses, and a
+            # lower cutoff would make entry nodes refuse requests instead.
+            return
+        for request in requests:
+            self.cutoff.record_refusal(
+                request.priority_rank, request.is_child_call
+            )
+
+
+def _refuse(
+    requests: Iterable[AdmissionRequest], reason: Reason
+) -> tuple[RefusedCall, ...]:
+    return tuple(RefusedCall(request, reason) for request in requests)
 
 
 def make_backend_gate(heartbeat_interval: float) -> BackendGate:
--- a/mustardshunt/upstream/_queue.py
+++ b/mustardshunt/upstream/_queue.py
@@ -70,6 +70,14 @@
             return request
         return None
 
+    def count_before(self, request: AdmissionRequest) -> int:
+        """Return how many queued calls start before a call that is added."""
+        rank = _queue_rank(request)
+        return sum(
+            _queue_rank(queued) <= rank
+            for queued in self._request_by_key.values()
+        )
+
     def remove(self, key: Hashable) -> AdmissionRequest | None:
         """Remove and return a call, None if the call is not in the queue."""
         self._queued_at_by_key.pop(key, None)
--- a/mustardshunt/upstream/_cold_start_rate.py
+++ b/mustardshunt/upstream/_recent_starts.py
@@ -1,27 +1,27 @@
-"""Rate limit for the calls to a backend server in its cold start."""
+"""Calls that were started at a backend server within the last second."""
 
 import math
 from collections import deque
 from typing import Final
 
-# Length of the sliding window. In any second, the backend server must not
-# receive more calls than the rate limit. The window is longer than 1 s, because
+# Length of the sliding window. In any second, a cold backend server must not
+# receive more calls than its rate limit. The window is longer than 1 s, because
 # the calls can arrive closer together than the node has sent them.
 WINDOW_SECONDS: Final = 1.1
 
 
-class ColdStartRateLimit:
-    """Limits the calls that start within a sliding window in a cold start.
+class RecentStarts:
+    """Counts the calls that started within a sliding window.
 
-    Calls must also be recorded while the backend server is warm. When a cold
-    start begins, the calls of the last window then count towards the limit.
+    All calls are recorded, so that the calls of the last window count when a
+    cold start or a limit begins.
 
     Examples
     --------
-    >>> limit = ColdStartRateLimit()
+    >>> starts = RecentStarts()
     >>> for now in (0.0, 0.1):
-    ...     limit.record(now)
-    >>> limit.remaining(2.0, now=0.5), limit.remaining(2.0, now=1.15)
+    ...     starts.record(now)
+    >>> starts.remaining(2.0, now=0.5), starts.remaining(2.0, now=1.15)
     (0, 1)
     """
 
@@ -33,6 +33,11 @@
         self._starts.append(now)
         self._remove_expired(now)
 
+    def rate(self, now: float) -> float:
+        """Return the calls a second that started within the window."""
+        self._remove_expired(now)
+        return len(self._starts) / WINDOW_SECONDS
+
     def remaining(self, rate: float, now: float) -> int:
         """Return the number of further calls that may start now.
 
