Place calls by the used part of a named limit

Cause: entry nodes knew nothing of a named limit, so they sent calls to a capped backend server whose limit was used up: its concurrency was low.

Change: the published status and each result carry the limit and its used part, which counts as utilisation at the entry nodes; calls that an entry node has sent since the last report are added. A node that was restarted learns the limit from its callers, on the link before their next call; the answers of its own backend server go first.

--- a/mustardshunt/load_balancing/_balancer.py
+++ b/mustardshunt/load_balancing/_balancer.py
@@ -147,7 +147,9 @@
             )
         load.status = status
         load.is_connected = True
-        self.update_load(load, status.in_flight, status.cutoff)
+        self.update_load(
+            load, status.in_flight, status.cutoff, status.limit_utilisation
+        )
 
     def knows_leaving(self, status: BackendServerStatus) -> bool:
         """Tell whether the run of a status leaves, unlike the status says."""
@@ -158,6 +160,7 @@
         load: MemberLoad,
         in_flight: int,
         cutoff: float,
+        limit_utilisation: float = 0.0,
     ) -> None:
         """Record the load that a member reports with each result of a call.
 
@@ -170,7 +173,11 @@
         cutoff : float
             Cutoff of the member. The member accepts priority ranks below the
             cutoff.
+        limit_utilisation : float, default=0.0
+            Used part of the limit that the backend server names.
         """
+        load.limit_utilisation = limit_utilisation
+        load.sent_since_report = 0
         load.in_flight = in_flight
         load.cutoff = cutoff
         load.outstanding_at_report = load.outstanding
@@ -237,6 +244,7 @@
     def record_start(self, load: MemberLoad) -> None:
         """Count a call that was sent to a member as outstanding."""
         load.outstanding += 1
+        load.sent_since_report += 1
 
     def record_end(
         self,
--- a/mustardshunt/load_balancing/_members.py
+++ b/mustardshunt/load_balancing/_members.py
@@ -51,6 +51,11 @@
     outstanding : int
         Number of calls that this node has sent to the member and that have no
         response yet.
+    limit_utilisation : float
+        Last reported part of the limit that the backend server names and that
+        is used, 0 without a limit.
+    sent_since_report : int
+        Calls that this node has sent to the member since the last report.
     outstanding_at_report : int
         Value of ``outstanding`` at the last report of ``in_flight``.
     latency_ratio : float
@@ -73,6 +78,8 @@
     in_flight: int = 0
     cutoff: float = 1.0
     outstanding: int = 0
+    limit_utilisation: float = 0.0
+    sent_since_report: int = 0
     outstanding_at_report: int = 0
     latency_ratio: float = 1.0
     failure_rate: float = 0.0
@@ -84,8 +91,15 @@
         The estimate is the number of calls in flight, divided by the
         concurrency limit. The number of calls in flight is the last reported
         number plus the calls that this node has sent since the report. If calls
-        are queued, the utilisation can be above 1.
+        are queued, the utilisation can be above 1. If the backend server names
+        a limit of requests a second, the used part of it counts if it is
+        higher.
         """
         since = self.outstanding - self.outstanding_at_report
         in_flight = max(self.in_flight + since, self.outstanding)
-        return in_flight / max(1, self.status.limit)
+        utilisation = in_flight / max(1, self.status.limit)
+        request_limit = self.status.request_limit
+        if request_limit is None:
+            return utilisation
+        sent_part = self.sent_since_report / max(1.0, request_limit)
+        return max(utilisation, self.limit_utilisation + sent_part)
--- a/mustardshunt/load_balancing/tests/test_load_balancing.py
+++ b/mustardshunt/load_balancing/tests/test_load_balancing.py
@@ -1,5 +1,6 @@
 """Tests of load balancer, weighted round robin and retry throttle."""
 
+import dataclasses
 import random
 
 from mustardshunt.base import VmAddress
@@ -54,6 +55,31 @@
     assert choose_name(balancer) == 'far_a'
 
 
+def test_capped_member_gets_calls_within_its_limit():
+    """A member that names a limit must get no more calls than it takes.
+
+    Calls that it would refuse go to a member with room, also elsewhere, without
+    an attempt at the capped one first.
+    """
+    capped = dataclasses.replace(
+        make_status(), request_limit=20.0, limit_utilisation=0.0
+    )
+    balancer = make_balancer(near_a=capped, near_b=make_status(5))
+    sent = [0, 0]
+    for _ in range(100):
+        load = balancer.choose('s', (), 0.0)
+        assert load is not None
+        balancer.record_start(load)
+        balancer.record_end(load, 'r', 0.01, False, 0.0)
+        sent[load.member.name == 'near_b'] += 1
+    assert 5 <= sent[0] <= 20
+    used_up = dataclasses.replace(capped, limit_utilisation=1.0)
+    balancer.update_status('near_a', used_up)
+    assert choose_name(balancer) == 'near_b'
+    balancer = make_balancer(near_a=used_up, far_a=make_status())
+    assert choose_name(balancer) == 'far_a'
+
+
 def test_draining_disconnected_and_evacuated_members_get_no_calls():
     """Members that cannot run calls must get none.
 
--- a/mustardshunt/relay/_frame_types.py
+++ b/mustardshunt/relay/_frame_types.py
@@ -64,6 +64,11 @@
         Start of this process in milliseconds, -1 if unknown.
     is_leaving : bool, default=False
         Whether this process has announced that it leaves.
+    request_limit : float, default=-1.0
+        Requests a second that this process takes from all nodes together, -1 if
+        it names no limit.
+    limit_utilisation : float, default=0.0
+        Used part of ``request_limit``, 1 or more when it is used up.
     """
 
     name: str
@@ -79,6 +84,8 @@
     instance: str = ''
     started_at: int = -1
     is_leaving: bool = False
+    request_limit: float = -1.0
+    limit_utilisation: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +106,25 @@
     started_at: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """Tells a restarted node which limit its backend server has named.
+
+    Parameters
+    ----------
+    instance : str
+        Identifier of the backend server's process.
+    started_at : int
+        Start of this process in milliseconds, -1 if unknown.
+    rate : float
+        Requests a second that this process takes from all nodes together.
+    """
+
+    instance: str
+    started_at: int
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """Call to the backend server beside the receiving node.
@@ -172,6 +198,8 @@
         Cutoff of the backend server times 100.
     is_dependent : bool
         Whether the route of the call is a dependent route.
+    limit_percent : int, default=0
+        Used part of the limit that the backend server names, times 100.
     """
 
     number: int
@@ -181,6 +209,7 @@
     in_flight: int
     cutoff_percent: int
     is_dependent: bool
+    limit_percent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,12 +227,15 @@
         number is unknown.
     cutoff_percent : int
         Cutoff of the backend server times 100.
+    limit_percent : int, default=0
+        Used part of the limit that the backend server names, times 100.
     """
 
     number: int
     reason: str
     in_flight: int
     cutoff_percent: int
+    limit_percent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -397,4 +429,5 @@
     | TokenRequestFrame
     | TokenGrantFrame
     | ServerLeaving
+    | ServerLimit
 )
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -23,6 +23,7 @@
     Ping,
     Pong,
     ServerLeaving,
+    ServerLimit,
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
@@ -52,6 +53,7 @@
     TokenRequestFrame,
     TokenGrantFrame,
     ServerLeaving,
+    ServerLimit,
 )
 _TYPE_BY_NAME: Final = {
     'str': str,
--- a/mustardshunt/sidecar/_backend_server_reports.py
+++ b/mustardshunt/sidecar/_backend_server_reports.py
@@ -124,14 +124,24 @@
         elif metadata.is_stamped:
             limit.record_unnamed(run, sent_at)
         if limit.rate != before:
-            self._log.record(
-                'request-limit',
-                now,
-                instance=self._gate.instance,
-                rate=limit.rate,
-                before=before,
-            )
-            self._on_change(now)
+            self._apply_limit(before, 'answer', now)
+
+    def adopt_limit(self, run: ServerRun, rate: float, source: str) -> None:
+        """Use the limit that a run has named before this node was restarted.
+
+        Parameters
+        ----------
+        run : ServerRun
+            Run of the backend server; another run has no such limit.
+        rate : float
+            The limit in requests a second.
+        source : str
+            How the node learned it, for the log.
+        """
+        now = self._clock.now()
+        before = self._gate.named_limit.rate
+        if self._gate.named_limit.adopt(run, rate, now):
+            self._apply_limit(before, source, now)
 
     def mark_leaving(self, run: ServerRun, source: str) -> None:
         """Stop calls to a run of the backend server, which leaves.
@@ -159,6 +169,19 @@
         self._log_phase(self._gate.instance, 'connection refused', now)
         self._on_change(now)
 
+    def _apply_limit(
+        self, before: float | None, source: str, now: float
+    ) -> None:
+        self._log.record(
+            'request-limit',
+            now,
+            instance=self._gate.instance,
+            rate=self._gate.named_limit.rate,
+            before=before,
+            source=source,
+        )
+        self._on_change(now)
+
     def _log_phase(self, instance: str, reason: str, now: float) -> None:
         self._log.record(
             'backend-server',
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -42,6 +42,9 @@
 # deadline of the call. The entry node already cancels the call at the deadline,
 # but the cancel message may be lost.
 DEADLINE_GRACE_SECONDS: Final = 0.3
+# Highest used part of a named limit that is reported; a limit far below the
+# load of the last second would be a large number.
+MAX_LIMIT_UTILISATION: Final = 100.0
 _PERCENT: Final = 100
 _SUCCESS: Final = range(200, 300)
 _SERVER_ERROR: Final = 500
@@ -273,6 +276,7 @@
             self.in_flight(),
             _cutoff_percent(self.gate, self.dependency),
             self._dependent_routes.is_dependent(served.call.route),
+            self._limit_percent(),
         )
 
     def _log_loss(self, served: ServedCall, reason: str) -> None:
@@ -290,8 +294,13 @@
             reason.value,
             self.in_flight(),
             _cutoff_percent(self.gate, self.dependency),
+            self._limit_percent(),
         )
 
+    def _limit_percent(self) -> int:
+        utilisation = self.gate.named_limit.utilisation(self.clock.now())
+        return int(min(utilisation, MAX_LIMIT_UTILISATION) * _PERCENT)
+
     def _refuse(self, call: Call, sink: ResultSink, reason: Reason) -> None:
         sink.deliver(call.number, self._not_run(call.number, reason))
         self._log.record(
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -6,6 +6,7 @@
 from mustardshunt.base import Clock
 from mustardshunt.caps import CapShares, TokenRequest
 from mustardshunt.load_balancing import (
+    KnownLimits,
     LoadBalancer,
     Member,
     WeightedRoundRobin,
@@ -16,6 +17,7 @@
     BackendServerStatusUpdate,
     OperatorState,
     ServerLeaving,
+    ServerLimit,
     TokenGrantFrame,
 )
 from mustardshunt.sidecar._callee import Callee
@@ -24,7 +26,7 @@
 from mustardshunt.sidecar._ports import OperatorUpdate
 from mustardshunt.sidecar._rate_limiter import RateLimiter
 from mustardshunt.sidecar._retry_budget import make_node_caps
-from mustardshunt.sidecar._server_run_codec import decode_run
+from mustardshunt.sidecar._server_run_codec import decode_limit, decode_run
 from mustardshunt.sidecar._settings import BoundsSection
 from mustardshunt.upstream import BackendServerStatus, ServerPhase
 
@@ -92,6 +94,7 @@
         self._document = b''
         self._revision = -1
         self._newest_change = -1
+        self._known_limits = KnownLimits()
         self._links: LinkManager | None = None
         self._rate_limiter: RateLimiter | None = None
 
@@ -169,6 +172,11 @@
             update.own_cutoff,
             decode_run(update.instance, update.started_at),
             update.is_leaving,
+            decode_limit(update.request_limit),
+            update.limit_utilisation,
+        )
+        forgotten_rate = self._known_limits.record_status(
+            name, update.incarnation, status
         )
         balancer = self._components.balancer
         balancer.update_status(name, status)
@@ -179,8 +187,15 @@
             name, status.phase is ServerPhase.READY and not is_left_out
         )
         link = self._links.find(name)
-        if is_left_out and link is not None:
+        if link is None:
+            return
+        # These frames reach a restarted node before the next call.
+        if is_left_out:
             link.send(ServerLeaving(update.instance, update.started_at))
+        if forgotten_rate is not None:
+            link.send(
+                ServerLimit(update.instance, update.started_at, forgotten_rate)
+            )
 
     def peer_lost(self, name: str) -> None:
         """Exclude a peer from load balancing until its link is open again."""
--- a/mustardshunt/sidecar/_ingress.py
+++ b/mustardshunt/sidecar/_ingress.py
@@ -384,7 +384,12 @@
         self._metrics.count_send(context.service, outcome)
         if isinstance(result, Answered | NotRun) and result.in_flight >= 0:
             cutoff = result.cutoff_percent / _PERCENT
-            self._balancer.update_load(load, result.in_flight, cutoff)
+            self._balancer.update_load(
+                load,
+                result.in_flight,
+                cutoff,
+                result.limit_percent / _PERCENT,
+            )
         self._balancer.record_end(
             load,
             context.route.name,
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -24,13 +24,14 @@
     Ping,
     Pong,
     ServerLeaving,
+    ServerLimit,
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
     listen,
 )
 from mustardshunt.sidecar._callee import Callee
-from mustardshunt.sidecar._server_run_codec import decode_run
+from mustardshunt.sidecar._server_run_codec import decode_limit, decode_run
 from mustardshunt.upstream import AdmissionRequest
 
 # Time within which a sending node must reconnect after a lost link. A sender
@@ -353,8 +354,8 @@
                 session.report_call_statuses(frame.numbers)
             case TokenRequestFrame() | TokenGrantFrame():
                 self._handle_tokens(frame, session.name, stream)
-            case ServerLeaving():
-                self._handle_leaving(frame, session.name)
+            case ServerLeaving() | ServerLimit():
+                self._handle_forgotten(frame, session.name)
             case StateRequest() | OperatorState() | MemberState():
                 self._handle_state(frame, stream)
 
@@ -371,10 +372,18 @@
         amount = tokens.grant(frame.organisation, name, frame.wanted)
         stream.send(TokenGrantFrame(frame.organisation, amount))
 
-    def _handle_leaving(self, frame: ServerLeaving, name: str) -> None:
+    def _handle_forgotten(
+        self, frame: ServerLeaving | ServerLimit, name: str
+    ) -> None:
         run = decode_run(frame.instance, frame.started_at)
-        if run is not None:
+        if run is None:
+            return
+        if isinstance(frame, ServerLeaving):
             self._callee.reports.mark_leaving(run, f'report of {name}')
+            return
+        rate = decode_limit(frame.rate)
+        if rate is not None:
+            self._callee.reports.adopt_limit(run, rate, f'report of {name}')
 
     def _handle_state(
         self,
--- a/mustardshunt/sidecar/_server_run_codec.py
+++ b/mustardshunt/sidecar/_server_run_codec.py
@@ -1,11 +1,13 @@
-"""Codec of the run of a backend server in the fields of frames."""
+"""Codec of the run of a backend server and its limit in frames."""
 
 from typing import Final
 
 from mustardshunt.upstream import ServerRun
 
-# Stands for an unknown start time, since the fields of frames have one type.
+# Stand for an unknown start time and for no limit, since the fields of frames
+# have one type.
 _UNKNOWN_START: Final = -1
+_NO_LIMIT: Final = -1.0
 
 
 def encode_run(run: ServerRun | None) -> tuple[str, int]:
@@ -38,3 +40,19 @@
     return ServerRun(
         instance, None if started_at == _UNKNOWN_START else started_at
     )
+
+
+def encode_limit(rate: float | None) -> float:
+    """Return the field for a limit in requests a second, or for none."""
+    return _NO_LIMIT if rate is None else rate
+
+
+def decode_limit(field: float) -> float | None:
+    """Return the limit in requests a second, None if there is none.
+
+    Examples
+    --------
+    >>> decode_limit(encode_limit(2.5)), decode_limit(encode_limit(None))
+    (2.5, None)
+    """
+    return field if field >= 0 else None
--- a/mustardshunt/sidecar/_status_publisher.py
+++ b/mustardshunt/sidecar/_status_publisher.py
@@ -8,15 +8,15 @@
     BackendServerStatusUpdate,
     NotRun,
 )
-from mustardshunt.sidecar._server_run_codec import encode_run
+from mustardshunt.sidecar._server_run_codec import encode_limit, encode_run
 from mustardshunt.upstream import BackendServerStatus
 
 # Shortest time between the last update and an update that reports only a
 # changed load or a risen cutoff. All other changes are published at once.
 MIN_LOAD_PUBLISH_SECONDS: Final = 0.5
 # Smallest changes that are published: of the load, as a fraction of the
-# concurrency limit, and of a cutoff, in priority ranks. Smaller changes are not
-# worth a message.
+# concurrency limit or of the limit that the backend server names, and of a
+# cutoff, in priority ranks. Smaller changes are not worth a message.
 MIN_LOAD_CHANGE: Final = 0.25
 MIN_CUTOFF_CHANGE: Final = 0.1
 
@@ -106,6 +106,8 @@
             instance,
             started_at,
             status.is_leaving,
+            encode_limit(status.request_limit),
+            status.limit_utilisation,
         )
 
 
@@ -126,10 +128,16 @@
 def _has_other_server(
     published: BackendServerStatus, status: BackendServerStatus
 ) -> bool:
-    return (published.run, published.is_leaving, published.limit) != (
+    return (
+        published.run,
+        published.is_leaving,
+        published.limit,
+        published.request_limit,
+    ) != (
         status.run,
         status.is_leaving,
         status.limit,
+        status.request_limit,
     )
 
 
@@ -139,6 +147,9 @@
     load_change = abs(published.in_flight - status.in_flight)
     if load_change > MIN_LOAD_CHANGE * status.limit:
         return True
+    limit_change = abs(published.limit_utilisation - status.limit_utilisation)
+    if limit_change > MIN_LOAD_CHANGE:
+        return True
     cutoff_change = max(
         abs(published.cutoff - status.cutoff),
         abs(published.own_cutoff - status.own_cutoff),
--- a/mustardshunt/upstream/_events.py
+++ b/mustardshunt/upstream/_events.py
@@ -160,6 +160,11 @@
     is_leaving : bool, default=False
         Whether the process has announced that it leaves. Unlike the phase, this
         is never taken back for the same process.
+    request_limit : float or None, default=None
+        Requests a second that the process takes from all nodes together, None
+        if it names no limit.
+    limit_utilisation : float, default=0.0
+        Used part of ``request_limit``, 1 or more when it is used up.
     """
 
     phase: ServerPhase
@@ -171,3 +176,5 @@
     own_cutoff: float = float('inf')
     run: ServerRun | None = None
     is_leaving: bool = False
+    request_limit: float | None = None
+    limit_utilisation: float = 0.0
--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -261,6 +261,8 @@
             own_cutoff=self.cutoff.value,
             run=self.liveness.run,
             is_leaving=self.liveness.is_leaving,
+            request_limit=self.named_limit.rate,
+            limit_utilisation=self.named_limit.utilisation(now),
         )
 
     def _has_capacity(self, now: float) -> bool:
