Take an answer that announces the leaving like a report

Cause: only heartbeats and deregistrations announced a leaving.

Change: the header of any answer of the expected run, also of a refusal, marks the run as leaving in the same LeavingRuns; the status goes out before the answer, so an entry node knows of the leaving before it passes the answer on, and tells a restarted node. A malformed value gets a log line and is left out.

--- a/mustardshunt/platform/_header_codec.py
+++ b/mustardshunt/platform/_header_codec.py
@@ -10,6 +10,7 @@
     CALLER_SERVICE_HEADER,
     DEADLINE_MS_HEADER,
     EXPECTED_INSTANCE_HEADER,
+    LEAVING_HEADER,
     NOT_EXECUTED_HEADER,
     ORGANISATION_HEADER,
     REQUEST_ID_HEADER,
@@ -38,6 +39,7 @@
 _RESPONSE_STAMP: Final = RESPONSE_STAMP_HEADER.lower().encode()
 _NOT_EXECUTED: Final = NOT_EXECUTED_HEADER.lower().encode()
 _CONTENT_ENCODING: Final = b'content-encoding'
+_LEAVING: Final = LEAVING_HEADER.lower().encode()
 _REQUEST_LIMIT: Final = REQUEST_LIMIT_HEADER.lower().encode()
 
 
@@ -114,32 +116,43 @@
 
         They tell whether the backend server made the answer, whether the
         request was run, and whether the request reached the expected run of the
-        backend server. They also name the limit of the backend server.
+        backend server. They also tell whether the backend server leaves, and
+        name its limit.
         """
         names = {lower_name(header[0]) for header in headers}
+        is_leaving = False
         request_limit = None
         malformed = ''
-        if _REQUEST_LIMIT in names:
-            try:
+        try:
+            if _LEAVING in names:
+                is_leaving = _read_leaving(headers)
+            if _REQUEST_LIMIT in names:
                 request_limit = _read_request_limit(headers)
-            except MalformedError as error:
-                malformed = str(error)
+        except MalformedError as error:
+            malformed = str(error)
         return AnswerMetadata(
             is_stamped=_RESPONSE_STAMP in names,
             says_not_run=_NOT_EXECUTED in names,
             is_wrong_instance=status == _MISDIRECTED_REQUEST,
             is_encoded=_CONTENT_ENCODING in names,
+            is_leaving=is_leaving,
             request_limit=request_limit,
             malformed=malformed,
         )
 
 
+def _read_leaving(headers: RawHeaders) -> bool:
+    found = _join_values(headers, _LEAVING)
+    if found != b'1':
+        raise MalformedError(
+            f'{LEAVING_HEADER}: expected 1, found {found[:MAX_QUOTED_BYTES]!r}'
+        )
+    return True
+
+
 def _read_request_limit(headers: RawHeaders) -> float:
-    texts = [
-        text for name, text in headers if lower_name(name) == _REQUEST_LIMIT
-    ]
-    found = b', '.join(texts)
-    if len(texts) > 1 or not _DECIMAL_NUMBER.fullmatch(found):
+    found = _join_values(headers, _REQUEST_LIMIT)
+    if not _DECIMAL_NUMBER.fullmatch(found):
         raise MalformedError(
             f'{REQUEST_LIMIT_HEADER}: expected one decimal number, '
             f'found {found[:MAX_QUOTED_BYTES]!r}'
@@ -147,6 +160,12 @@
     return parse_number(found.decode(), REQUEST_LIMIT_HEADER)
 
 
+def _join_values(headers: RawHeaders, wanted: bytes) -> bytes:
+    return b', '.join(
+        text for name, text in headers if lower_name(name) == wanted
+    )
+
+
 def _parse_milliseconds(text: str | None) -> float | None:
     if text is None:
         return None
--- a/mustardshunt/platform/_names.py
+++ b/mustardshunt/platform/_names.py
@@ -17,6 +17,8 @@
 # A backend server in need names in this header of its answers the requests a
 # second that it takes from all nodes together.
 REQUEST_LIMIT_HEADER: Final = 'Server-Limit'
+# A backend server that leaves says so with ``1`` in all its answers.
+LEAVING_HEADER: Final = 'Server-Leaving'
 AUTHORIZATION_HEADER: Final = 'Authorization'
 BEARER_PREFIX: Final = 'Bearer '
 
--- a/mustardshunt/platform/tests/test_translation.py
+++ b/mustardshunt/platform/tests/test_translation.py
@@ -203,6 +203,17 @@
     assert 'Server-Limit' in metadata.malformed
 
 
+@pytest.mark.parametrize(
+    'texts', [['0'], ['true'], [''], ['11'], ['1', '1'], ['1, 1'], ['-1']]
+)
+def test_malformed_leaving_is_left_out(texts: list[str]):
+    # A server that did not say that it leaves must not lose its calls for good.
+    headers = tuple((b'Server-Leaving', text.encode()) for text in texts)
+    metadata = PlatformHeaderCodec().read_answer(200, headers)
+    assert not metadata.is_leaving
+    assert 'Server-Leaving' in metadata.malformed
+
+
 @pytest.mark.parametrize('text', ['5', '5m', 'xs', '-1s', 5])
 def test_time_without_number_or_unit_is_malformed(text: object):
     # A number without a unit or with an unknown unit must be rejected, and not
--- a/mustardshunt/sidecar/_backend_server_reports.py
+++ b/mustardshunt/sidecar/_backend_server_reports.py
@@ -108,6 +108,8 @@
         """
         if metadata.is_wrong_instance:
             return
+        if metadata.is_leaving and run is not None:
+            self.mark_leaving(run, 'answer')
         now = self._clock.now()
         if metadata.malformed:
             self._log.record(
--- a/mustardshunt/sidecar/_ports.py
+++ b/mustardshunt/sidecar/_ports.py
@@ -68,6 +68,8 @@
     is_encoded : bool
         Whether the body has a content encoding, which the backend server
         does not use.
+    is_leaving : bool
+        Whether the backend server says that it leaves.
     request_limit : float or None
         Requests a second that the backend server takes from all nodes together,
         None if it names no limit.
@@ -80,6 +82,7 @@
     says_not_run: bool
     is_wrong_instance: bool
     is_encoded: bool
+    is_leaving: bool
     request_limit: float | None
     malformed: str
 
--- a/mustardshunt/standin/sidecar_backend_server.py
+++ b/mustardshunt/standin/sidecar_backend_server.py
@@ -184,7 +184,9 @@
             return web.Response(status=421, headers=id_header)
         if self.behaviour.sheds:
             not_run = {**id_header, 'Mustardshunt-Not-Executed': '1'}
-            return web.Response(status=503, headers=not_run)
+            return web.Response(
+                status=503, headers={**not_run, **self.behaviour.extra_headers}
+            )
         body = await request.read()
         self.on_request(
             ReceivedRequest(request_id, dict(request.headers), body)
