Leave out entries of nodes that name no usable address

Callers saw nothing here; other operators report that one odd entry of another writer ended the machines that read the list.

Cause: an entry with a port above 65535 or a host that is no address was taken for a node. Opening a link to it raised an error that the task of the link did not expect, so the task ended; the node also counted in the division of caps.

Change: the address is checked where an entry of the store or of a peer is read, and the entry is left out with a log line. An unexpected error ends one connection of a link, not its task.

--- a/mustardshunt/base/__init__.py
+++ b/mustardshunt/base/__init__.py
@@ -22,6 +22,7 @@
 from mustardshunt.base._identifiers import (
     Incarnation,
     VmAddress,
+    make_vm_address,
     rendezvous_order,
 )
 from mustardshunt.base._importance import Importance
@@ -56,6 +57,7 @@
     'VmAddress',
     'check_choice',
     'check_range',
+    'make_vm_address',
     'nearest_name',
     'rank_of',
     'rendezvous_order',
--- a/mustardshunt/base/_identifiers.py
+++ b/mustardshunt/base/_identifiers.py
@@ -1,9 +1,12 @@
 """Identifiers of nodes, and rendezvous hashing over them."""
 
 import hashlib
+import ipaddress
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import NewType
+from typing import Final, NewType
+
+MAX_PORT: Final = 65535
 
 # Identifier of one process of a node; a restarted node has a new incarnation.
 Incarnation = NewType('Incarnation', str)
@@ -33,6 +36,34 @@
         return f'{self.host}:{self.port}'
 
 
+def make_vm_address(host: str, port: int) -> VmAddress:
+    """Return the address of a node that another writer has stated.
+
+    Parameters
+    ----------
+    host : str
+        IP address; names are not resolved.
+    port : int
+        TCP port, 1 to 65535.
+
+    Raises
+    ------
+    ValueError
+        No connection can be opened to the address.
+
+    Examples
+    --------
+    >>> make_vm_address('10.0.0.1', 70000)
+    Traceback (most recent call last):
+        ...
+    ValueError: port: expected 1 to 65535, found 70000
+    """
+    ipaddress.ip_address(host)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f'port: expected 1 to {MAX_PORT}, found {port}')
+    return VmAddress(host, port)
+
+
 def rendezvous_order(
     key: str,
     incarnations: Iterable[Incarnation],
--- a/mustardshunt/platform/_sources.py
+++ b/mustardshunt/platform/_sources.py
@@ -10,7 +10,6 @@
 
 from loguru import logger
 
-from mustardshunt.base import VmAddress
 from mustardshunt.load_balancing import Member
 from mustardshunt.platform._names import (
     EVACUATION_PREFIX,
@@ -23,8 +22,9 @@
 from mustardshunt.platform._values import (
     MalformedError,
     parse_json,
-    read_integer,
+    read_address,
     read_json_object,
+    read_printable,
     read_text,
 )
 from mustardshunt.policy import Policy
@@ -224,14 +224,11 @@
     try:
         entry = read_json_object(parse_json(row.content))
         return Member(
-            row.key,
-            read_text(entry, 'run'),
-            read_text(entry, 'service'),
-            read_text(entry, 'zone'),
-            VmAddress(
-                read_text(entry, 'host'),
-                read_integer(entry, 'port', 0),
-            ),
+            read_printable(row.key, 'key'),
+            read_printable(read_text(entry, 'run'), 'run'),
+            read_printable(read_text(entry, 'service'), 'service'),
+            read_printable(read_text(entry, 'zone'), 'zone'),
+            read_address(entry),
         )
     except MalformedError as error:
         # A malformed row is skipped, so that it does not hide the other nodes.
--- a/mustardshunt/platform/_values.py
+++ b/mustardshunt/platform/_values.py
@@ -3,6 +3,8 @@
 import json
 from typing import Any, Final
 
+from mustardshunt.base import VmAddress, make_vm_address
+
 # Largest number that is accepted. Larger integers cannot be converted to float
 # exactly, or at all.
 MAX_NUMBER: Final = 2**53
@@ -102,6 +104,22 @@
     return float(found)
 
 
+def read_address(table: dict[str, Any]) -> VmAddress:
+    """Return the address in the fields ``host`` and ``port``.
+
+    Raises
+    ------
+    MalformedError
+        No connection can be opened to the address.
+    """
+    host = read_text(table, 'host')
+    port = read_integer(table, 'port', 0)
+    try:
+        return make_vm_address(host, port)
+    except ValueError as error:
+        raise MalformedError(f'expected an address: {error}') from error
+
+
 def read_seconds(table: dict[str, Any], name: str, default: float) -> float:
     """Return a field that holds a time such as ``1500ms`` or ``2.5s``.
 
--- a/mustardshunt/platform/tests/test_fuzz.py
+++ b/mustardshunt/platform/tests/test_fuzz.py
@@ -282,3 +282,26 @@
     update = asyncio.run(StoreMemberDirectory(store).read())
     assert own in update.changed
     asyncio.run(StoreOperatorSource(store).changes(0, 0.0))
+
+
+@pytest.mark.parametrize(
+    ('name', 'found'),
+    [
+        ('port', 0),
+        ('port', 65536),
+        ('port', 2**40),
+        ('host', 'a..b'),
+        ('host', 'x\x00y'),
+        ('host', 'backend'),
+        ('host', '\ud800'),
+        ('service', 'a\nb'),
+        ('run', '\ud800'),
+    ],
+)
+def test_entry_that_names_no_usable_node_is_left_out(name: str, found: object):
+    """An odd entry of another writer must not end what connects to nodes."""
+    entry = {'run': 'n-1', 'service': 's', 'zone': 'z', 'host': '10.0.0.1'}
+    content = json.dumps({**entry, 'port': 1, name: found}).encode()
+    store: Any = RowStore([Row('n', content, 9, False)])
+    update = asyncio.run(StoreMemberDirectory(store).read())
+    assert update.changed == ()
--- a/mustardshunt/sidecar/_deployment_codec.py
+++ b/mustardshunt/sidecar/_deployment_codec.py
@@ -5,7 +5,7 @@
 
 import cbor2
 
-from mustardshunt.base import VmAddress
+from mustardshunt.base import make_vm_address
 from mustardshunt.load_balancing import Member
 from mustardshunt.relay import FrameError, MemberState, OperatorState
 from mustardshunt.sidecar._ports import (
@@ -94,9 +94,9 @@
     for entry in parts[0]:
         if not _has_types(entry, _ENTRY_TYPES):
             raise FrameError(f'expected an entry of a node, found {entry!r}')
-        name, incarnation, service, data_centre = entry[:4]
-        address = VmAddress(entry[4], entry[5])
-        changed.append(Member(name, incarnation, service, data_centre, address))
+        member = _make_member(*entry)
+        if member is not None:
+            changed.append(member)
     for name in parts[1]:
         if not isinstance(name, str):
             raise FrameError(f'expected the name of a node, found {name!r}')
@@ -109,6 +109,23 @@
     )
 
 
+def _make_member(
+    name: str,
+    incarnation: str,
+    service: str,
+    data_centre: str,
+    host: str,
+    port: int,
+) -> Member | None:
+    try:
+        address = make_vm_address(host, port)
+    except ValueError:
+        # The peer has passed on an odd entry of another writer, which must not
+        # hide the others.
+        return None
+    return Member(name, incarnation, service, data_centre, address)
+
+
 def _decode_list(encoded: bytes) -> list[Any]:
     try:
         items = cbor2.loads(encoded)
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -224,11 +224,25 @@
         """
         try:
             while True:
-                await self._run_once()
+                await self._run_and_log()
                 await asyncio.sleep(self._reconnect_pause)
         finally:
             self._fail_all('link closed: peer has left or this node stops')
 
+    async def _run_and_log(self) -> None:
+        try:
+            await self._run_once()
+        except Exception as error:
+            # An unexpected error ends this connection only.
+            self._fail_all('connection failed: unexpected error')
+            self._handle_failed_dial()
+            self._log.record(
+                'link-invalid',
+                self._loop.time(),
+                peer=self.member.name,
+                error=repr(error),
+            )
+
     async def _run_once(self) -> None:
         try:
             stream = await dial(self.member.address)
--- a/mustardshunt/standin/tests/test_robustness.py
+++ b/mustardshunt/standin/tests/test_robustness.py
@@ -138,3 +138,33 @@
         for path in ('/read/x', '/open/x'):
             assert (await deployment.call(entry, 'GET', path))[0] == 200
         assert (await deployment.call(entry, 'POST', '/order/x'))[0] == 200
+
+
+@pytest.mark.parametrize(
+    'changes', [{'port': 65536}, {'port': 2**40}, {'host': 'a..b'}]
+)
+async def test_odd_entry_of_a_node_ends_no_task(
+    deployment: Deployment, changes: dict[str, object]
+):
+    """An entry with an unusable address must not end the task of a link.
+
+    All nodes read the entries of all nodes, so one entry would reach them all.
+    """
+    node = await deployment.add_node('a')
+    await deployment.wait_until_served(node)
+    entry = {
+        'run': 'odd-1',
+        'service': 'stock',
+        'zone': 'z',
+        'host': '127.0.0.1',
+        'port': 1,
+    }
+    deployment.store.put('nodes', 'odd', {**entry, **changes})
+    other = await deployment.add_node('b')
+    await deployment.wait_until_served(other)
+    await wait_until(lambda: 'b' in node.sidecar._member_sync.by_name)
+    for _ in range(20):
+        assert (await deployment.call(node, 'GET', '/read/x'))[0] == 200
+    link_tasks = node.sidecar._links._pool._task_by_name
+    assert link_tasks
+    assert not [name for name, task in link_tasks.items() if task.done()]
