Test orders that come late in a planned stop in calm

Cause: other operators report that requests which came late in the grace time were passed on and cut off.

Change: a test with one order each 0.1 s through the whole grace time.

--- a/mustardshunt/standin/tests/test_stop_under_load.py
+++ b/mustardshunt/standin/tests/test_stop_under_load.py
@@ -114,3 +114,48 @@
     assert not refused & run_ids
     assert set(tally.status_by_id.values()) <= {200, 429, 503}
     assert list(tally.status_by_id.values()).count(200) > CONNECTIONS
+
+
+async def send_once(address: VmAddress, number: int, tally: Tally) -> None:
+    """Send one order on a connection of its own and wait for its answer."""
+    request_id = f'late-{number}'
+    try:
+        streams = await asyncio.open_connection(address.host, address.port)
+    except ConnectionError:
+        return
+    caller = PipeliningCaller(*streams)
+    try:
+        caller.send(request_id, '/order/x', 'POST')
+        tally.status_by_id[request_id] = (await caller.read_answer())[0]
+    except (ConnectionError, asyncio.IncompleteReadError):
+        tally.cut_off_ids.append(request_id)
+    finally:
+        caller.writer.transport.abort()
+
+
+async def test_planned_stop_in_calm_cuts_off_no_late_order(
+    deployment: Deployment,
+):
+    """An order that comes late in the grace time must not be cut off.
+
+    It may not be repeated, so what is passed on must be answered. One order
+    comes every 0.1 s, and each takes a quarter of the grace time.
+    """
+    stopped = await deployment.add_node('a', with_server=False)
+    await deployment.add_node('b')
+    await deployment.wait_until_served(stopped)
+    server = deployment.servers[0]
+    grace = stopped.settings.bounds.grace
+    server.behaviour.service_time = grace / 4
+    server.received_requests.clear()
+    tally = Tally()
+    async with asyncio.TaskGroup() as group:
+        stopped.sidecar.request_stop()
+        for number in range(int(grace * 10)):
+            group.create_task(send_once(stopped.caller_address, number, tally))
+            await asyncio.sleep(0.1)
+    run_ids = {request.request_id for request in server.received_requests}
+    assert run_ids
+    assert not run_ids & set(tally.cut_off_ids)
+    assert {tally.status_by_id[request_id] for request_id in run_ids} == {200}
+    assert 503 in tally.status_by_id.values()
