Let backend servers announce limits and leavings in the soak

Change: two faults, a named limit and a leaving that only answers announce, and an invariant for each: it binds a node that has passed on such an answer, until a restart or a pause of this node.

--- a/mustardshunt/standin/soak/__main__.py
+++ b/mustardshunt/standin/soak/__main__.py
@@ -29,7 +29,9 @@
         first = secrets.randbelow(10**6)
     failed_soaks = 0
     for seed in range(first, first + options.seeds):
-        plan = SoakPlan(seed, options.nodes, options.seconds)
+        plan = SoakPlan(
+            seed, options.nodes, options.seconds, has_announcements=True
+        )
         result = asyncio.run(run_soak(plan))
         statuses = dict(sorted(result.statuses.items()))
         summary = (
--- a/mustardshunt/standin/soak/_callers.py
+++ b/mustardshunt/standin/soak/_callers.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Mapping
 from typing import Final
 
 import aiohttp
@@ -48,6 +49,7 @@
         source: random.Random,
         numbers: 'itertools.count[int]',
     ) -> None:
+        self._node = node.addresses.name
         self._url = f'http://{node.addresses.address("callers")}'
         self._history = history
         self._random = source
@@ -69,6 +71,8 @@
             self._random.choice(ORGANISATIONS),
             not is_order,
             self._random.randbytes(self._random.randrange(_MAX_BODY_BYTES)),
+            self._node,
+            asyncio.get_running_loop().time(),
         )
         self._history.request_by_id[sent.request_id] = sent
         path = '/order/x' if is_order else '/read/x'
@@ -91,6 +95,7 @@
                     'Mustardshunt-Response-Stamp' in response.headers,
                     await response.read(),
                 )
+                self._record_announcements(response.headers)
         except (aiohttp.ClientError, TimeoutError):
             reply = ReceivedReply(0, '', is_stamped=False, body=b'')
             # If the node is down, the kernel refuses connections at once.
@@ -98,3 +103,11 @@
             await asyncio.sleep(_FAILURE_PAUSE_SECONDS)
         self._history.reply_by_id[sent.request_id] = reply
         self.served += reply.status == 200
+
+    def _record_announcements(self, headers: Mapping[str, str]) -> None:
+        now = asyncio.get_running_loop().time()
+        key = (headers.get('Mustardshunt-Response-Stamp', ''), self._node)
+        if 'Server-Leaving' in headers:
+            self._history.leaving_told_at.setdefault(key, now)
+        if 'Server-Limit' in headers:
+            self._history.limit_told_at.setdefault(key, now)
--- a/mustardshunt/standin/soak/_fleet.py
+++ b/mustardshunt/standin/soak/_fleet.py
@@ -17,7 +17,13 @@
     ReceivedRequest,
     SidecarBackendServer,
 )
-from mustardshunt.standin.soak._invariants import Execution, History
+from mustardshunt.standin.soak._invariants import (
+    DRAIN_SECONDS,
+    LIMIT_WINDOW_SECONDS,
+    REQUEST_LIMIT,
+    Execution,
+    History,
+)
 from mustardshunt.standin.soak._proxy import ConnectionFault, FaultProxy
 from mustardshunt.standin.store_server import StoreServer
 
@@ -139,6 +145,7 @@
         if process is None:
             return
         self._process = None
+        self._record_disruption()
         self._send_signal(process, number)
         try:
             async with asyncio.timeout(GRACE_SECONDS):
@@ -148,15 +155,18 @@
             await process.wait()
         await asyncio.sleep(_RESTART_SECONDS)
         await self.start_process()
+        self._record_disruption()
 
     async def pause(self, seconds: float) -> None:
         """Suspend the process for some seconds."""
         process = self._process
         if process is None:
             return
+        self._record_disruption()
         self._send_signal(process, signal.SIGSTOP)
         await asyncio.sleep(seconds)
         self._send_signal(process, signal.SIGCONT)
+        self._record_disruption()
 
     def reload(self) -> None:
         """Send SIGHUP, on which the process reloads its settings."""
@@ -217,6 +227,32 @@
         await server.stop()
         await self.start_server()
 
+    async def limit_server(self, seconds: float) -> None:
+        """Let the backend server name a limit for some seconds."""
+        server = self._server
+        if server is None:
+            return
+        server.behaviour.extra_headers = {'Server-Limit': str(REQUEST_LIMIT)}
+        await asyncio.sleep(LIMIT_WINDOW_SECONDS + seconds)
+        self._history.limit_ended_at_by_instance[server.instance] = (
+            asyncio.get_running_loop().time()
+        )
+        server.behaviour.extra_headers = {}
+
+    async def announce_leaving(self, seconds: float) -> None:
+        """Let the backend server say in its answers that it leaves.
+
+        Its heartbeats say that it is ready until another instance replaces it.
+        """
+        server = self._server
+        if server is None:
+            return
+        self._server = None
+        server.behaviour.extra_headers = {'Server-Leaving': '1'}
+        await asyncio.sleep(DRAIN_SECONDS + seconds)
+        await server.stop()
+        await self.start_server()
+
     async def stop(self) -> None:
         """Stop the node process, the backend server and the proxies."""
         if self._process is not None:
@@ -239,6 +275,10 @@
         now = asyncio.get_running_loop().time()
         self._history.executions.append(Execution(now, instance, request))
 
+    def _record_disruption(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._history.disrupted_at_by_node[self.addresses.name] = now
+
     def _send_signal(
         self,
         process: asyncio.subprocess.Process,
--- a/mustardshunt/standin/soak/_invariants.py
+++ b/mustardshunt/standin/soak/_invariants.py
@@ -5,7 +5,7 @@
 """
 
 import bisect
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -23,6 +23,14 @@
 # After a node has confirmed that a backend server drains, requests may still
 # arrive there for this time.
 DRAIN_SECONDS: Final = 2.0
+# Requests a second that a backend server in need names, and the bound of the
+# rule: in no window more than this ratio of the limit, and some requests. It
+# holds for the nodes that have passed on an answer with the limit for a time.
+REQUEST_LIMIT: Final = 15
+LIMIT_WINDOW_SECONDS: Final = 4.0
+LIMIT_EXCESS_RATIO: Final = 1.5
+LIMIT_EXCESS_REQUESTS: Final = 5
+LIMIT_TOLD_SECONDS: Final = 0.5
 _OK_STATUS: Final = 200
 
 
@@ -60,12 +68,18 @@
         Whether the request may run more than once.
     body : bytes
         Complete request body.
+    node : str, default=''
+        Name of the node to which the request was sent.
+    sent_at : float, default=0.0
+        Time of the event loop in seconds.
     """
 
     request_id: str
     organisation: str
     is_idempotent: bool
     body: bytes
+    node: str = ''
+    sent_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +143,39 @@
     drain_confirmed_at_by_instance: dict[str, float] = field(
         default_factory=dict
     )
+    # When a node first passed on an answer with the announcement of a backend
+    # server, by instance and node, and when the limit of an instance ended.
+    leaving_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    limit_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    limit_ended_at_by_instance: dict[str, float] = field(default_factory=dict)
+    # A restart or a pause of a node excuses it from what it was told before.
+    disrupted_at_by_node: dict[str, float] = field(default_factory=dict)
+
+    def is_bound(
+        self,
+        told_at_by_key: Mapping[tuple[str, str], float],
+        execution: Execution,
+        seconds: float,
+    ) -> bool:
+        """Tell whether the node of a request was bound by an announcement.
+
+        Parameters
+        ----------
+        told_at_by_key : mapping of (str, str) to float
+            When nodes passed on the announcement, by instance and node.
+        execution : Execution
+            Execution of the request.
+        seconds : float
+            Time between the announcement and the request from which on the node
+            is bound.
+        """
+        sent = self.request_by_id.get(execution.request.request_id)
+        if sent is None:
+            return False
+        told_at = told_at_by_key.get((execution.instance, sent.node))
+        if told_at is None or sent.sent_at <= told_at + seconds:
+            return False
+        return self.disrupted_at_by_node.get(sent.node, 0.0) < told_at
 
     def find_violations(
         self,
@@ -159,6 +206,8 @@
             *self._find_invalid_executions(key),
             *self._find_non_idempotent_violations(executions_by_id),
             *self._find_cap_violations(rate, burst, capped),
+            *self._find_leaving_violations(),
+            *self._find_limit_violations(),
         ]
 
     def _find_invalid_replies(self) -> Iterator[Violation]:
@@ -226,6 +275,38 @@
                 detail = f'status {reply.status}, but ran at {places}'
                 yield Violation('not run', request_id, detail)
 
+    def _find_leaving_violations(self) -> Iterator[Violation]:
+        for execution in self.executions:
+            if self.is_bound(self.leaving_told_at, execution, DRAIN_SECONDS):
+                yield Violation(
+                    'leaving',
+                    execution.request.request_id,
+                    f'ran at {execution.instance}, {execution.at:.3f}',
+                )
+
+    def _find_limit_violations(self) -> Iterator[Violation]:
+        starts_by_instance: dict[str, list[float]] = {}
+        for execution in self.executions:
+            ended_at = self.limit_ended_at_by_instance.get(
+                execution.instance, float('inf')
+            )
+            if execution.at < ended_at and self.is_bound(
+                self.limit_told_at, execution, LIMIT_TOLD_SECONDS
+            ):
+                starts_by_instance.setdefault(execution.instance, []).append(
+                    execution.at
+                )
+        bound = REQUEST_LIMIT * LIMIT_WINDOW_SECONDS * LIMIT_EXCESS_RATIO
+        bound += LIMIT_EXCESS_REQUESTS
+        for instance, starts in starts_by_instance.items():
+            most = _most_in_window(starts, LIMIT_WINDOW_SECONDS)
+            if most > bound:
+                detail = (
+                    f'{most} executions at {instance} in '
+                    f'{LIMIT_WINDOW_SECONDS:.0f} s, {bound:.0f} allowed'
+                )
+                yield Violation('limit', '', detail)
+
     def _find_cap_violations(
         self,
         rate: float,
@@ -239,12 +320,19 @@
         )
         cap = rate * CAP_WINDOW_SECONDS + burst
         bound = cap * (1 + CAP_OVERAGE) + CAP_SLACK
-        for index, start in enumerate(starts):
-            end = bisect.bisect_left(starts, start + CAP_WINDOW_SECONDS)
-            if end - index > bound:
-                detail = (
-                    f'{end - index} executions in {CAP_WINDOW_SECONDS:.0f} s, '
-                    f'{bound:.0f} allowed'
-                )
-                yield Violation('cap', '', detail)
-                return
+        most = _most_in_window(starts, CAP_WINDOW_SECONDS)
+        if most > bound:
+            detail = (
+                f'{most} executions in {CAP_WINDOW_SECONDS:.0f} s, '
+                f'{bound:.0f} allowed'
+            )
+            yield Violation('cap', '', detail)
+
+
+def _most_in_window(starts: Sequence[float], seconds: float) -> int:
+    """Return the largest number of sorted times within any window."""
+    most = 0
+    for index, start in enumerate(starts):
+        end = bisect.bisect_left(starts, start + seconds)
+        most = max(most, end - index)
+    return most
--- a/mustardshunt/standin/soak/_run.py
+++ b/mustardshunt/standin/soak/_run.py
@@ -47,11 +47,16 @@
         Number of nodes.
     seconds : float
         Seconds during which new faults begin.
+    has_announcements : bool
+        Whether backend servers also announce limits and their leaving in their
+        answers. Without them, a seed draws the same faults as before they were
+        added.
     """
 
     seed: int
     nodes: int = 3
     seconds: float = 20.0
+    has_announcements: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,9 +91,17 @@
         Fleet into which faults are injected.
     source : random.Random
         Source of the random choice of faults.
+    has_announcements : bool
+        Whether backend servers announce limits and their leaving.
     """
 
-    def __init__(self, fleet: SoakFleet, source: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        source: random.Random,
+        has_announcements: bool,
+    ) -> None:
+        self._has_announcements = has_announcements
         self._fleet = fleet
         self._random = source
         self._tasks: list[asyncio.Task[None]] = []
@@ -128,6 +141,12 @@
             ('trouble', lambda: self._inject_connection_fault(node, duration)),
             ('trouble', lambda: self._inject_connection_fault(node, duration)),
         ]
+        if self._has_announcements:
+            faults += [
+                ('limit', lambda: node.limit_server(duration)),
+                ('limit', lambda: node.limit_server(duration)),
+                ('leaving', lambda: node.announce_leaving(duration)),
+            ]
         name, fault = self._random.choice(faults)
         return f'{name} {node.addresses.name} {duration:.2f}', fault
 
@@ -175,7 +194,7 @@
         for node in fleet.nodes
         for _ in range(CALLERS_PER_NODE)
     ]
-    injector = FaultInjector(fleet, source)
+    injector = FaultInjector(fleet, source, plan.has_announcements)
     tasks: list[asyncio.Task[None]] = []
     violations: list[Violation] = []
     try:
--- a/mustardshunt/standin/soak/tests/test_invariants.py
+++ b/mustardshunt/standin/soak/tests/test_invariants.py
@@ -98,6 +98,44 @@
     assert find_violated_invariants(history) == {'at most once'}
 
 
+def make_told_history(count: int) -> History:
+    """Return requests that were sent 0.1 s apart after an announcement."""
+    history = History(COMPLETE_BODY)
+    for number in range(count):
+        request_id = f'q{number}'
+        at = 10.0 + number * 0.04
+        history.request_by_id[request_id] = SentRequest(
+            request_id, 'aquarium', True, b'body', 'a', at
+        )
+        history.executions.append(make_execution(request_id, 'aquarium', at=at))
+    return history
+
+
+def test_request_above_the_named_limit_is_reported():
+    """An excess must be reported for the nodes that know the limit only."""
+    # 15 requests a second allow 15 x 4 x 1.5 + 5 = 95 in 4 s.
+    history = make_told_history(96)
+    assert find_violated_invariants(history) == set()
+    history.limit_told_at['i-1', 'a'] = 9.4
+    assert find_violated_invariants(history) == {'limit'}
+    history.disrupted_at_by_node['a'] = 9.5
+    assert find_violated_invariants(history) == set()
+    history = make_told_history(95)
+    history.limit_told_at['i-1', 'a'] = 9.4
+    assert find_violated_invariants(history) == set()
+
+
+def test_request_after_a_passed_on_leaving_is_reported():
+    """A request must not reach a server whose leaving its node has told."""
+    history = make_told_history(1)
+    history.leaving_told_at['i-1', 'a'] = 8.1
+    assert find_violated_invariants(history) == set()
+    history.leaving_told_at['i-1', 'a'] = 7.9
+    assert find_violated_invariants(history) == {'leaving'}
+    history.disrupted_at_by_node['a'] = 9.0
+    assert find_violated_invariants(history) == set()
+
+
 def test_cap_is_checked_in_every_window():
     """The cap must be checked in every window of time.
 
--- a/mustardshunt/standin/soak/tests/test_soak.py
+++ b/mustardshunt/standin/soak/tests/test_soak.py
@@ -21,3 +21,12 @@
     result = await run_soak(SoakPlan(seed, nodes=3, seconds=SECONDS))
     assert not result.violations, (result.faults, result.directory)
     assert result.statuses.get(200, 0) > 0
+
+
+async def test_announcements_of_servers_hold_under_random_faults():
+    """Limits and leavings that servers announce must hold under any faults."""
+    result = await run_soak(
+        SoakPlan(2, nodes=3, seconds=SECONDS, has_announcements=True)
+    )
+    assert not result.violations, (result.faults, result.directory)
+    assert result.statuses.get(200, 0) > 0
