Count the calls of the second before a named limit in its first window

Cause: the pause after a new limit was one second at most, so a limit of a fifth of the load before was exceeded in the first 4 s: 144 requests of 125 allowed.

Change: in the 3 s after a new or lowered limit, calls start as far as they and those of the second before stay within 1.25 times the limit. At half of the load there is no pause any more; it was 0.5 s.

--- a/mustardshunt/upstream/_named_limit.py
+++ b/mustardshunt/upstream/_named_limit.py
@@ -8,6 +8,11 @@
 # Calls that may start at once after a pause, in seconds of the limit; at least
 # one call may.
 BURST_SECONDS: Final = 0.25
+# A backend server that names a new limit has had more calls in the second
+# before. In this time it gets so few that both together stay within
+# FIRST_WINDOW_RATIO times the limit.
+SETTLE_SECONDS: Final = 3.0
+FIRST_WINDOW_RATIO: Final = 1.25
 # Lowest rate in calls a second at which calls start. Without calls there are no
 # answers, and the end of a limit of 0 would not be found.
 MIN_RATE: Final = 0.25
@@ -160,15 +165,16 @@
         self.rate = rate
         self._updated_at = now
         if former_rate is None or rate < former_rate:
-            # The calls of the last second were sent under the former rate. No
-            # call starts until the server has taken no more than the new limit
-            # since then.
-            recent_rate = max(rate, self._recent_starts.rate(now))
-            excess = 1 - rate / recent_rate if recent_rate else 0.0
-            tokens = min(tokens, -excess * rate)
+            tokens = min(tokens, -self._excess(now))
         self._tokens = tokens
         return True
 
+    def _excess(self, now: float) -> float:
+        rate = max(self.rate or 0.0, MIN_RATE)
+        allowed = FIRST_WINDOW_RATIO * (SETTLE_SECONDS + 1) * rate
+        left = max(0.0, allowed - self._recent_starts.rate(now))
+        return max(0.0, SETTLE_SECONDS * rate - left)
+
     def _refill(self, now: float) -> float:
         rate = max(self.rate or 0.0, MIN_RATE)
         elapsed = max(0.0, now - self._updated_at)
--- a/mustardshunt/upstream/tests/test_named_limit.py
+++ b/mustardshunt/upstream/tests/test_named_limit.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -49,7 +50,7 @@
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(
     rate=st.sampled_from([0.0, 0.3, 1.0, 4.5, 20.0, 60.0]),
-    load=st.sampled_from([1.5, 2.0, 3.0]),
+    load=st.sampled_from([1.5, 2.0, 3.0, 5.0]),
     bursts=st.lists(
         st.tuples(
             st.integers(0, 100),
@@ -103,6 +104,29 @@
         assert len(window) <= allowed
 
 
+@pytest.mark.parametrize('rate', [2.0, 20.0, 60.0])
+@pytest.mark.parametrize('load', [1.5, 2.0, 3.0, 5.0])
+def test_calls_before_a_limit_count_in_its_first_window(
+    rate: float, load: float
+):
+    """The first 4 s must hold, with the second before the limit in them."""
+    gate = make_gate()
+    before = round(rate * load)
+    starts = [10.0 - number / before for number in range(before)]
+    for at in reversed(starts):
+        start_calls(gate, at, 1)
+    gate.named_limit.record_named(gate.liveness.run, rate, 10.0)
+    for step in range(1, 600):
+        now = 10.0 + step / 100
+        starts += [now] * start_calls(gate, now, 3)
+    allowed = rate * WINDOW_SECONDS * EXCESS_RATIO + EXCESS_REQUESTS
+    for end in range(130, 161):
+        window = [
+            at for at in starts if end / 10 - WINDOW_SECONDS < at <= end / 10
+        ]
+        assert len(window) <= allowed
+
+
 def test_limit_is_used_up_under_constant_load():
     """A server must get what it still takes, not much less than its limit."""
     gate = make_gate()
