Read each announcement of an answer on its own

Cause: a malformed Server-Leaving hid a valid Server-Limit of the same answer.

Change: each header is read on its own; any malformed one keeps the answer from ending a limit.

Evidence: test_malformed_header_does_not_hide_the_other_one.

--- a/mustardshunt/platform/_header_codec.py
+++ b/mustardshunt/platform/_header_codec.py
@@ -122,14 +122,17 @@
         names = {lower_name(header[0]) for header in headers}
         is_leaving = False
         request_limit = None
-        malformed = ''
-        try:
-            if _LEAVING in names:
+        malformed = []
+        if _LEAVING in names:
+            try:
                 is_leaving = _read_leaving(headers)
-            if _REQUEST_LIMIT in names:
+            except MalformedError as error:
+                malformed.append(str(error))
+        if _REQUEST_LIMIT in names:
+            try:
                 request_limit = _read_request_limit(headers)
-        except MalformedError as error:
-            malformed = str(error)
+            except MalformedError as error:
+                malformed.append(str(error))
         return AnswerMetadata(
             is_stamped=_RESPONSE_STAMP in names,
             says_not_run=_NOT_EXECUTED in names,
@@ -137,7 +140,7 @@
             is_encoded=_CONTENT_ENCODING in names,
             is_leaving=is_leaving,
             request_limit=request_limit,
-            malformed=malformed,
+            malformed='; '.join(malformed),
         )
 
 
--- a/mustardshunt/platform/tests/test_translation.py
+++ b/mustardshunt/platform/tests/test_translation.py
@@ -214,6 +214,14 @@
     assert 'Server-Leaving' in metadata.malformed
 
 
+def test_malformed_header_does_not_hide_the_other_one():
+    # Both headers bind on their own, so each must be read on its own.
+    headers = ((b'Server-Leaving', b'yes'), (b'Server-Limit', b'20'))
+    assert PlatformHeaderCodec().read_answer(200, headers).request_limit == 20
+    headers = ((b'Server-Leaving', b'1'), (b'Server-Limit', b'nan'))
+    assert PlatformHeaderCodec().read_answer(200, headers).is_leaving
+
+
 @pytest.mark.parametrize('text', ['5', '5m', 'xs', '-1s', 5])
 def test_time_without_number_or_unit_is_malformed(text: object):
     # A number without a unit or with an unknown unit must be rejected, and not
--- a/mustardshunt/sidecar/_backend_server_reports.py
+++ b/mustardshunt/sidecar/_backend_server_reports.py
@@ -118,12 +118,11 @@
                 instance=self._gate.instance,
                 error=metadata.malformed,
             )
-            return
         limit = self._gate.named_limit
         before = limit.rate
         if metadata.request_limit is not None:
             limit.record_named(run, metadata.request_limit, now)
-        elif metadata.is_stamped:
+        elif metadata.is_stamped and not metadata.malformed:
             limit.record_unnamed(run, sent_at)
         if limit.rate != before:
             self._apply_limit(before, 'answer', now)
