Forget limits of nodes that have left; reject infinite limits of peers

Cause: the limits that an entry node remembers were kept for ever, and a limit that is not a finite number, from a faulty peer, would have stopped the token bucket.

Change: limits are forgotten with the members; a field that is not finite holds no limit.

Evidence: doctests of the codec.

--- a/mustardshunt/load_balancing/_known_limits.py
+++ b/mustardshunt/load_balancing/_known_limits.py
@@ -1,5 +1,6 @@
 """Limits of backend servers that entry nodes know from published statuses."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 from mustardshunt.upstream import BackendServerStatus, ServerRun
@@ -37,6 +38,11 @@
     def __init__(self) -> None:
         self._known_by_name: dict[str, _KnownLimit] = {}
 
+    def set_members(self, names: Collection[str]) -> None:
+        """Forget the limits of nodes that have left."""
+        for name in self._known_by_name.keys() - set(names):
+            del self._known_by_name[name]
+
     def record_status(
         self, name: str, incarnation: str, status: BackendServerStatus
     ) -> float | None:
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -147,6 +147,7 @@
         """Replace the members that this node knows by the members given."""
         components = self._components
         components.balancer.set_members(by_name.values())
+        self._known_limits.set_members(by_name)
         components.caps.set_nodes(
             self._own.name,
             {name: member.data_centre for name, member in by_name.items()},
--- a/mustardshunt/sidecar/_server_run_codec.py
+++ b/mustardshunt/sidecar/_server_run_codec.py
@@ -1,5 +1,6 @@
 """Codec of the run of a backend server and its limit in frames."""
 
+import math
 from typing import Final
 
 from mustardshunt.upstream import ServerRun
@@ -48,11 +49,13 @@
 
 
 def decode_limit(field: float) -> float | None:
-    """Return the limit in requests a second, None if there is none.
+    """Return the limit in requests a second, None if the field has none.
 
     Examples
     --------
     >>> decode_limit(encode_limit(2.5)), decode_limit(encode_limit(None))
     (2.5, None)
+    >>> decode_limit(float('inf')), decode_limit(float('nan'))
+    (None, None)
     """
-    return field if field >= 0 else None
+    return field if field >= 0 and math.isfinite(field) else None
