--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -10,7 +10,6 @@
 from mustardshunt.relay._frame_types import (
     Answered,
     AnswerLost,
-    BackendServerStatusUpdate,
     Call,
     CallStatusRequest,
     Cancel,
@@ -21,8 +20,6 @@
     OperatorState,
     Ping,
     Pong,
-    ServerLeaving,
-    ServerLimit,
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
@@ -45,6 +42,11 @@
     render_headers,
 )
 from mustardshunt.relay._server import HttpServer
+from mustardshunt.relay._server_frames import (
+    BackendServerStatusUpdate,
+    ServerLeaving,
+    ServerLimit,
+)
 from mustardshunt.relay._streams import FrameStream, dial, listen
 
 __all__ = [
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -11,7 +11,6 @@
 from mustardshunt.relay._frame_types import (
     Answered,
     AnswerLost,
-    BackendServerStatusUpdate,
     Call,
     CallStatusRequest,
     Cancel,
@@ -22,12 +21,15 @@
     OperatorState,
     Ping,
     Pong,
-    ServerLeaving,
-    ServerLimit,
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
 )
+from mustardshunt.relay._server_frames import (
+    BackendServerStatusUpdate,
+    ServerLeaving,
+    ServerLimit,
+)
 
 # Longest frame that is accepted. A call or answer with the largest body that
 # the settings allow still fits.
