--- a/mustardshunt/upstream/tests/test_liveness.py
+++ b/mustardshunt/upstream/tests/test_liveness.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mustardshunt.base import Reason
 from mustardshunt.upstream import (
     AdmissionDecision,
     AdmissionRequest,
@@ -41,6 +42,25 @@
     assert not starts_call(gate, 3.1)
 
 
+@pytest.mark.parametrize('is_child_call', [False, True])
+def test_no_call_starts_after_a_leaving(is_child_call: bool):
+    """New, queued and child calls must not reach a server that leaves."""
+    gate = make_ready_gate()
+    requests = [
+        AdmissionRequest(number, 0, is_child_call, 'o', 9.0)
+        for number in range(READY.slots * 2)
+    ]
+    for request in requests:
+        gate.admit(request, 0.5)
+    running = gate.running_calls
+    gate.liveness.mark_leaving(READY.run)
+    for number in range(running):
+        assert not gate.release(number, 1.0).started
+    assert len(gate.tick(1.0).refused) == len(requests) - running
+    late = AdmissionRequest('late', 0, is_child_call, 'o', 9.0)
+    assert gate.admit(late, 1.0) is Reason.DRAINING
+
+
 @pytest.mark.parametrize('sequence', [4, 5])
 def test_leaving_with_an_outdated_number_counts(sequence: int):
     """A leaving that the node acknowledges must close the gate.
