--- a/mustardshunt/standin/soak/tests/test_invariants.py
+++ b/mustardshunt/standin/soak/tests/test_invariants.py
@@ -99,7 +99,7 @@
 
 
 def make_told_history(count: int) -> History:
-    """Return requests that were sent 0.1 s apart after an announcement."""
+    """Return requests to node ``a`` that were sent 0.04 s apart."""
     history = History(COMPLETE_BODY)
     for number in range(count):
         request_id = f'q{number}'
