Keep the earned calls of a named limit that varies slightly

Cause: each lowered limit emptied the token bucket. A backend server that names a slightly different limit in each answer would have got no call at all.

Change: a lowered limit takes tokens away only for calls above it in the second before.

--- a/mustardshunt/upstream/_named_limit.py
+++ b/mustardshunt/upstream/_named_limit.py
@@ -161,11 +161,12 @@
         former_rate = self.rate
         if rate == former_rate:
             return False
-        tokens = float('inf') if former_rate is None else self._refill(now)
+        tokens = 0.0 if former_rate is None else self._refill(now)
         self.rate = rate
         self._updated_at = now
-        if former_rate is None or rate < former_rate:
-            tokens = min(tokens, -self._excess(now))
+        excess = self._excess(now)
+        if excess:
+            tokens = min(tokens, -excess)
         self._tokens = tokens
         return True
 
--- a/mustardshunt/upstream/tests/test_named_limit.py
+++ b/mustardshunt/upstream/tests/test_named_limit.py
@@ -137,6 +137,19 @@
     assert started >= 0.95 * 20 * 10
 
 
+@pytest.mark.parametrize('rate', [2.0, 20.0])
+def test_limit_that_varies_slightly_is_used_up(rate: float):
+    """A server may name a slightly different limit in each of its answers."""
+    gate = make_gate()
+    started = 0
+    for step in range(1000):
+        now = 11.0 + step / 100
+        named = rate * (1.0 - step % 2 / 100)
+        gate.named_limit.record_named(gate.liveness.run, named, now)
+        started += start_calls(gate, now, 1)
+    assert started >= 0.9 * rate * 10
+
+
 def test_calls_in_the_queue_keep_to_a_limit_that_comes_later():
     """A call that was queued before the limit must not start above it."""
     gate = make_gate()
