--- a/mustardshunt/membership/__init__.py
+++ b/mustardshunt/membership/__init__.py
@@ -15,13 +15,17 @@
     RecordsArrived,
     SendRecords,
 )
-from mustardshunt.membership._follower_role import FollowerRole
+from mustardshunt.membership._follower_role import (
+    REPORT_TIMEOUT_SECONDS,
+    FollowerRole,
+)
 from mustardshunt.membership._members import MembershipSnapshot
 from mustardshunt.membership._membership import Membership, make_membership
 from mustardshunt.membership._ring import record_order
 from mustardshunt.membership._search import AddressSearch, make_address_search
 
 __all__ = [
+    'REPORT_TIMEOUT_SECONDS',
     'AddressSearch',
     'CloseLink',
     'FollowerRole',
--- a/mustardshunt/node/_crash_monitor.py
+++ b/mustardshunt/node/_crash_monitor.py
@@ -14,26 +14,25 @@
 from mustardshunt.quarantine import (
     BackendServerCrashed,
     CallFinished,
+    CrashDetector,
     CrashReport,
     CrashReportArrived,
     Fingerprint,
     ForwardCrashReport,
+    LostCall,
     QuarantineDecision,
     QuarantineStarted,
     make_fingerprint,
     make_request_quarantine,
 )
+from mustardshunt.relay import is_listening
 from mustardshunt.transport import Link
 
 _CHECK_INTERVAL_SECONDS: Final = 0.1
-# Time from the first lost call to the first check for a crash. All calls lost
-# in this time count as lost by the same crash.
-_SAME_CRASH_SECONDS: Final = 0.2
 # When a heartbeat with a new start id comes within this time after a lost call,
 # the backend server has crashed, even if a new process already listens at its
 # address. After this time, the lost calls no longer count.
 _RESTART_WINDOW_SECONDS: Final = 5.0
-_PROBE_TIMEOUT_SECONDS: Final = 0.5
 
 
 class CrashMonitor:
@@ -67,8 +66,7 @@
         self._quarantine = make_request_quarantine(own, '')
         self._address: VmAddress | None = None
         self._start_id = ''
-        self._lost_calls: list[Fingerprint] = []
-        self._lost_at = float('-inf')
+        self._detector = CrashDetector(_RESTART_WINDOW_SECONDS)
 
     def connect(self, broadcast: Callable[[object], None]) -> None:
         """Set the function that sends a frame to all neighbours."""
@@ -88,11 +86,9 @@
             self._service = service
             self._quarantine = make_request_quarantine(self._own, service)
         self._address = address
-        if start_id == self._start_id:
-            return
         self._start_id = start_id
-        if self._lost_calls:
-            self._report_crash()
+        self._detector.record_run(start_id)
+        self._report_crash()
 
     def make_fingerprint(
         self,
@@ -117,13 +113,15 @@
 
     def record_finished(self, fingerprint: Fingerprint) -> None:
         """Record a call that ended without a crash."""
-        self._quarantine.handle(CallFinished(fingerprint), self._clock.now())
+        now = self._clock.now()
+        self._detector.record_answer(self._start_id, now)
+        self._quarantine.handle(CallFinished(fingerprint), now)
 
     def record_lost(self, fingerprint: Fingerprint) -> None:
         """Record a call whose connection was lost before the answer came."""
-        if not self._lost_calls:
-            self._lost_at = self._clock.now()
-        self._lost_calls.append(fingerprint)
+        self._detector.record_lost(
+            LostCall(fingerprint, self._start_id, self._clock.now())
+        )
 
     def handle_report(self, _: Link, report: CrashReport) -> None:
         """Pass a neighbour's crash report to the quarantine."""
@@ -137,35 +135,18 @@
         """
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_SECONDS)
-            age = self._clock.now() - self._lost_at
-            if not self._lost_calls or age < _SAME_CRASH_SECONDS:
-                continue
-            if age > _RESTART_WINDOW_SECONDS:
-                self._lost_calls.clear()
-                continue
-            if not await self._is_listening():
-                self._report_crash()
+            if (
+                self._detector.needs_probe(self._clock.now())
+                and not await self._is_listening()
+            ):
+                self._detector.record_refused()
+            self._report_crash()
 
     async def _is_listening(self) -> bool:
-        address = self._address
-        if address is None:
-            return False
-        try:
-            async with asyncio.timeout(_PROBE_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(
-                    address.host,
-                    address.port,
-                )
-        except ConnectionRefusedError:
-            return False
-        except (OSError, TimeoutError):
-            return True
-        writer.transport.abort()
-        return True
+        return self._address is not None and await is_listening(self._address)
 
     def _report_crash(self) -> None:
-        lost_calls = tuple(self._lost_calls)
-        self._lost_calls.clear()
+        lost_calls = self._detector.take_crash(self._clock.now())
         if not lost_calls:
             return
         self._metrics.count_event('backend-server-crashed')
@@ -174,7 +155,9 @@
             self._address,
             len(lost_calls),
         )
-        self._apply(BackendServerCrashed(lost_calls))
+        self._apply(
+            BackendServerCrashed(tuple(call.fingerprint for call in lost_calls))
+        )
 
     def _apply(self, event: BackendServerCrashed | CrashReportArrived) -> None:
         for action in self._quarantine.handle(event, self._clock.now()):
--- a/mustardshunt/quarantine/__init__.py
+++ b/mustardshunt/quarantine/__init__.py
@@ -7,6 +7,11 @@
 the cause. Requests whose suspicion level reaches a threshold are refused.
 """
 
+from mustardshunt.quarantine._crash_detector import (
+    SAME_CRASH_SECONDS,
+    CrashDetector,
+    LostCall,
+)
 from mustardshunt.quarantine._events import (
     BackendServerCrashed,
     CallFinished,
@@ -15,35 +20,56 @@
     ForwardCrashReport,
     QuarantineCounts,
     QuarantineDecision,
+    QuarantineEnded,
+    QuarantineLifted,
     QuarantineStarted,
     SuspicionScore,
+    Verdict,
+    VerdictArrived,
 )
-from mustardshunt.quarantine._fingerprints import Fingerprint, make_fingerprint
-from mustardshunt.quarantine._quarantine import (
+from mustardshunt.quarantine._evidence import (
+    COLLECTED_THRESHOLD,
     CRASH_INCREMENT,
     FINISH_DECREMENT,
     MIN_SUSPICION_LEVEL,
     QUARANTINE_THRESHOLD,
+    CollectedEvidence,
+    EvidenceRule,
+    SharedEvidence,
+)
+from mustardshunt.quarantine._fingerprints import Fingerprint, make_fingerprint
+from mustardshunt.quarantine._quarantine import (
     RequestQuarantine,
     make_request_quarantine,
 )
 
 __all__ = [
+    'COLLECTED_THRESHOLD',
     'CRASH_INCREMENT',
     'FINISH_DECREMENT',
     'MIN_SUSPICION_LEVEL',
     'QUARANTINE_THRESHOLD',
+    'SAME_CRASH_SECONDS',
     'BackendServerCrashed',
     'CallFinished',
+    'CollectedEvidence',
+    'CrashDetector',
     'CrashReport',
     'CrashReportArrived',
+    'EvidenceRule',
     'Fingerprint',
     'ForwardCrashReport',
+    'LostCall',
     'QuarantineCounts',
     'QuarantineDecision',
+    'QuarantineEnded',
+    'QuarantineLifted',
     'QuarantineStarted',
     'RequestQuarantine',
+    'SharedEvidence',
     'SuspicionScore',
+    'Verdict',
+    'VerdictArrived',
     'make_fingerprint',
     'make_request_quarantine',
 ]
--- a/mustardshunt/quarantine/_events.py
+++ b/mustardshunt/quarantine/_events.py
@@ -96,6 +96,67 @@
     report: CrashReport
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A quarantined fingerprint, which is told to nodes without the reports.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Fingerprint whose calls are refused.
+    level : int
+        Suspicion level at the node that has reached the verdict.
+    until : float
+        Time at which the quarantine ends, in seconds.
+    crashes : tuple of str
+        Nodes beside the last backend servers that crashed under the request.
+    """
+
+    fingerprint: Fingerprint
+    level: int
+    until: float
+    crashes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VerdictArrived:
+    """Event: another node has quarantined a fingerprint.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        The verdict, which may have arrived before.
+    """
+
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineLifted:
+    """Event: an operator has lifted the quarantine of a fingerprint.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Fingerprint whose calls may run again.
+    """
+
+    fingerprint: Fingerprint
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineEnded:
+    """Action: report that a quarantine has ended.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Fingerprint whose calls may run again.
+    """
+
+    fingerprint: Fingerprint
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardCrashReport:
     """Action: forward a crash report to the neighbours.
--- a/mustardshunt/quarantine/_fingerprints.py
+++ b/mustardshunt/quarantine/_fingerprints.py
@@ -14,6 +14,7 @@
     method: str,
     target: str,
     body: bytes,
+    secret: bytes = b'',
 ) -> Fingerprint:
     """Return the fingerprint of a request.
 
@@ -31,6 +32,10 @@
         Path and query.
     body : bytes
         Complete body.
+    secret : bytes, default=b''
+        Key of the digest, at most 64 bytes and the same at all nodes. Without
+        it, nobody can tell from a fingerprint whether it is that of a request
+        that they guess.
 
     Returns
     -------
@@ -45,7 +50,7 @@
     >>> first == make_fingerprint('acme', 'GE', 'T/a', b'')
     False
     """
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES, key=secret)
     for part in (organisation.encode(), method.encode(), target.encode()):
         digest.update(len(part).to_bytes(4, 'big'))
         digest.update(part)
--- a/mustardshunt/quarantine/_quarantine.py
+++ b/mustardshunt/quarantine/_quarantine.py
@@ -14,34 +14,38 @@
     ForwardCrashReport,
     QuarantineCounts,
     QuarantineDecision,
+    QuarantineEnded,
+    QuarantineLifted,
     QuarantineStarted,
     SuspicionScore,
+    Verdict,
+    VerdictArrived,
+)
+from mustardshunt.quarantine._evidence import (
+    CRASH_INCREMENT,
+    FINISH_DECREMENT,
+    MIN_SUSPICION_LEVEL,
+    EvidenceRule,
+    SharedEvidence,
 )
 from mustardshunt.quarantine._fingerprints import Fingerprint
 
-# The suspicion level of a request measures the evidence that the request
-# crashes backend servers. A crash while the request is in flight adds 4 to the
-# level. A call of the request that ends without a crash subtracts 1. On average
-# the level rises if more than 1 in 5 calls end in a crash, and falls if fewer
-# do.
-CRASH_INCREMENT: Final = 4
-FINISH_DECREMENT: Final = 1
-# Lowest suspicion level, and the level from which a request is refused. Calls
-# without a crash lower the level, which protects a frequent harmless request
-# that is in flight at each crash. With the lowest level of -8, such calls make
-# up for at most two later crashes. A request that begins to crash backend
-# servers is therefore still detected soon.
-MIN_SUSPICION_LEVEL: Final = -8
-QUARANTINE_THRESHOLD: Final = 8
-
-_MAX_SCORES_PER_REPORT: Final = 64
 # Most crash reports whose identity is stored. Several neighbours may forward
 # the same report. A node recognises the report by its identity and processes
 # the report only once.
 _MAX_SEEN_REPORTS: Final = 256
 
-Event: TypeAlias = BackendServerCrashed | CallFinished | CrashReportArrived
-Action: TypeAlias = ForwardCrashReport | QuarantineStarted
+# Most crashes that are named as the evidence of a verdict.
+_MAX_NAMED_CRASHES: Final = 5
+
+Event: TypeAlias = (
+    BackendServerCrashed
+    | CallFinished
+    | CrashReportArrived
+    | VerdictArrived
+    | QuarantineLifted
+)
+Action: TypeAlias = ForwardCrashReport | QuarantineStarted | QuarantineEnded
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +54,8 @@
     # Time in seconds from which the suspicion level counts as 0. If the
     # fingerprint is quarantined, the quarantine ends at this time.
     expires_at: float
+    # Nodes beside the backend servers that crashed, the last ones.
+    crashes: tuple[str, ...] = ()
 
 
 class RequestQuarantine:
@@ -61,6 +67,8 @@
         Incarnation of this node.
     service : str
         Service of the node's backend server.
+    rule : EvidenceRule
+        Combines the evidence of several nodes.
     retention : float
         Seconds after which a fingerprint without new evidence is removed.
     quarantine_duration : float
@@ -73,12 +81,14 @@
         self,
         node: Incarnation,
         service: str,
+        rule: EvidenceRule,
         retention: float,
         quarantine_duration: float,
         capacity: int,
     ) -> None:
         self._node = node
         self._service = service
+        self._rule = rule
         self._retention = retention
         self._quarantine_duration = quarantine_duration
         self._capacity = capacity
@@ -89,6 +99,7 @@
         # no suspect and no quarantined fingerprint.
         self._non_suspects: OrderedDict[Fingerprint, _Entry] = OrderedDict()
         self._suspects: OrderedDict[Fingerprint, _Entry] = OrderedDict()
+        self._quarantined: set[Fingerprint] = set()
         self._seen_reports: OrderedDict[tuple[Incarnation, int], None] = (
             OrderedDict()
         )
@@ -98,14 +109,14 @@
 
         Parameters
         ----------
-        event : BackendServerCrashed, CallFinished or CrashReportArrived
+        event : Event
             Event that has happened.
         now : float
             Time in seconds.
 
         Returns
         -------
-        list of ForwardCrashReport or QuarantineStarted
+        list of Action
             Actions that the node must carry out.
         """
         if isinstance(event, CallFinished):
@@ -113,6 +124,10 @@
             return []
         if isinstance(event, BackendServerCrashed):
             return self._handle_crash(event, now)
+        if isinstance(event, VerdictArrived):
+            return self._handle_verdict(event.verdict, now)
+        if isinstance(event, QuarantineLifted):
+            return self._handle_lift(event.fingerprint, now)
         return self._handle_report(event.report, now)
 
     def check(
@@ -140,7 +155,7 @@
             a suspect and a different suspect runs. Otherwise ``RUN``.
         """
         level = self._suspect_level(fingerprint, now)
-        if level >= QUARANTINE_THRESHOLD:
+        if level >= self._rule.threshold:
             return QuarantineDecision.QUARANTINED
         if not level:
             return QuarantineDecision.RUN
@@ -149,13 +164,51 @@
                 return QuarantineDecision.WAIT
         return QuarantineDecision.RUN
 
+    def seconds_left(self, fingerprint: Fingerprint, now: float) -> float:
+        """Return for how long calls are still refused, 0 if they may run.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            Fingerprint of the calls.
+        now : float
+            Time in seconds.
+        """
+        if fingerprint not in self._quarantined:
+            return 0.0
+        return max(0.0, self._suspects[fingerprint].expires_at - now)
+
+    def verdicts(self, now: float) -> list[Verdict]:
+        """Return all quarantined fingerprints with their evidence."""
+        return [
+            Verdict(
+                fingerprint,
+                self._suspects[fingerprint].level,
+                self._suspects[fingerprint].expires_at,
+                self._suspects[fingerprint].crashes,
+            )
+            for fingerprint in self._quarantined
+            if self.seconds_left(fingerprint, now) > 0
+        ]
+
+    def expire(self, now: float) -> list[QuarantineEnded]:
+        """End the quarantines whose time has passed, and return their ends."""
+        ended = [
+            fingerprint
+            for fingerprint in self._quarantined
+            if self.seconds_left(fingerprint, now) <= 0
+        ]
+        for fingerprint in ended:
+            self._remove(fingerprint)
+        return [QuarantineEnded(fingerprint) for fingerprint in ended]
+
     def snapshot(self, now: float) -> QuarantineCounts:
         """Return how many fingerprints are stored, suspect or refused."""
         levels = [
             self._suspect_level(fingerprint, now)
             for fingerprint in self._suspects
         ]
-        quarantined = sum(level >= QUARANTINE_THRESHOLD for level in levels)
+        quarantined = sum(level >= self._rule.threshold for level in levels)
         return QuarantineCounts(
             len(self._non_suspects) + len(self._suspects),
             sum(level > 0 for level in levels) - quarantined,
@@ -166,10 +219,10 @@
         level = self._level(fingerprint, now)
         # If the fingerprint is quarantined, the call started before the
         # quarantine. The end of this call must not end the quarantine.
-        if level >= QUARANTINE_THRESHOLD:
+        if level >= self._rule.threshold:
             return
         lowered = max(MIN_SUSPICION_LEVEL, level - FINISH_DECREMENT)
-        self._set_level(fingerprint, lowered, now)
+        self._set_level(fingerprint, lowered, now, self._crashes(fingerprint))
 
     def _handle_crash(
         self, event: BackendServerCrashed, now: float
@@ -180,7 +233,7 @@
             levels[fingerprint] = (
                 self._level(fingerprint, now) + CRASH_INCREMENT
             )
-        actions = self._raise_levels(levels, now)
+        actions = self._raise_levels(levels, now, self._node)
         ordered = sorted(
             levels, key=lambda fingerprint: (-levels[fingerprint], fingerprint)
         )
@@ -190,7 +243,7 @@
             self._service,
             tuple(
                 SuspicionScore(candidate, levels[candidate])
-                for candidate in ordered[:_MAX_SCORES_PER_REPORT]
+                for candidate in ordered[: self._rule.report_size]
             ),
         )
         self._record_report(report)
@@ -200,37 +253,78 @@
         if (report.node, report.number) in self._seen_reports:
             return []
         self._record_report(report)
-        if report.service != self._service:
+        if not self._rule.applies(report.service):
             return [ForwardCrashReport(report)]
         levels: dict[Fingerprint, int] = {}
         for score in report.scores:
-            level = self._level(score.fingerprint, now)
-            # A crash report never raises a suspicion level above the level at
-            # the reporting node. That node may have seen calls without a crash
-            # that this node has not seen.
-            raised = min(level + CRASH_INCREMENT, score.level)
-            if not self._is_known(score.fingerprint, now):
-                raised = score.level
+            fingerprint = score.fingerprint
+            level = self._level(fingerprint, now)
+            is_known = self._is_known(fingerprint, now)
+            raised = self._rule.combine(
+                level if is_known else None, score.level
+            )
             if raised > level:
-                levels[score.fingerprint] = raised
-        return [*self._raise_levels(levels, now), ForwardCrashReport(report)]
+                levels[fingerprint] = raised
+        return [
+            *self._raise_levels(levels, now, report.node),
+            ForwardCrashReport(report),
+        ]
+
+    def _handle_verdict(self, verdict: Verdict, now: float) -> list[Action]:
+        fingerprint = verdict.fingerprint
+        own_level = self._level(fingerprint, now)
+        # Calls that have ended without a crash at this node count against the
+        # verdict.
+        level = verdict.level + min(0, own_level)
+        if level < self._rule.threshold or level <= own_level:
+            return []
+        lifetime = min(verdict.until - now, self._quarantine_duration)
+        if lifetime <= 0:
+            return []
+        self._set_level(fingerprint, level, now, verdict.crashes, lifetime)
+        if own_level >= self._rule.threshold:
+            return []
+        return [QuarantineStarted(fingerprint, now + lifetime)]
+
+    def _handle_lift(
+        self, fingerprint: Fingerprint, now: float
+    ) -> list[Action]:
+        if self._level(fingerprint, now) == MIN_SUSPICION_LEVEL:
+            return []
+        # Verdicts that other nodes still spread must not start the quarantine
+        # again, so this level is stored for as long as they may last.
+        self._set_level(
+            fingerprint,
+            MIN_SUSPICION_LEVEL,
+            now,
+            lifetime=self._quarantine_duration,
+        )
+        return [QuarantineEnded(fingerprint)]
 
     def _raise_levels(
         self,
         levels: dict[Fingerprint, int],
         now: float,
+        crashed_beside: str,
     ) -> list[Action]:
         actions: list[Action] = []
         for fingerprint, level in levels.items():
             was_quarantined = (
-                self._level(fingerprint, now) >= QUARANTINE_THRESHOLD
+                self._level(fingerprint, now) >= self._rule.threshold
+            )
+            crashes = (*self._crashes(fingerprint), crashed_beside)
+            self._set_level(
+                fingerprint, level, now, crashes[-_MAX_NAMED_CRASHES:]
             )
-            self._set_level(fingerprint, level, now)
-            if level >= QUARANTINE_THRESHOLD and not was_quarantined:
+            if level >= self._rule.threshold and not was_quarantined:
                 until = self._suspects[fingerprint].expires_at
                 actions.append(QuarantineStarted(fingerprint, until))
         return actions
 
+    def _crashes(self, fingerprint: Fingerprint) -> tuple[str, ...]:
+        entry = self._suspects.get(fingerprint)
+        return () if entry is None else entry.crashes
+
     def _level(self, fingerprint: Fingerprint, now: float) -> int:
         entry = self._non_suspects.get(fingerprint)
         if entry is None:
@@ -254,18 +348,30 @@
         fingerprint: Fingerprint,
         level: int,
         now: float,
+        crashes: tuple[str, ...] = (),
+        lifetime: float | None = None,
     ) -> None:
-        self._non_suspects.pop(fingerprint, None)
-        self._suspects.pop(fingerprint, None)
-        is_quarantined = level >= QUARANTINE_THRESHOLD
-        lifetime = (
-            self._quarantine_duration if is_quarantined else self._retention
+        self._remove(fingerprint)
+        is_quarantined = level >= self._rule.threshold
+        if lifetime is None:
+            lifetime = (
+                self._quarantine_duration if is_quarantined else self._retention
+            )
+        entry = _Entry(
+            min(level, self._rule.highest_level), now + lifetime, crashes
         )
-        entry = _Entry(min(level, QUARANTINE_THRESHOLD), now + lifetime)
+        if is_quarantined:
+            self._quarantined.add(fingerprint)
         entries = self._suspects if level > 0 else self._non_suspects
         entries[fingerprint] = entry
         if len(entries) > self._capacity // 2:
-            entries.popitem(last=False)
+            evicted, _ = entries.popitem(last=False)
+            self._quarantined.discard(evicted)
+
+    def _remove(self, fingerprint: Fingerprint) -> None:
+        self._non_suspects.pop(fingerprint, None)
+        self._suspects.pop(fingerprint, None)
+        self._quarantined.discard(fingerprint)
 
     def _record_report(self, report: CrashReport) -> None:
         self._seen_reports[report.node, report.number] = None
@@ -277,6 +383,7 @@
     node: Incarnation,
     service: str,
     *,
+    rule: EvidenceRule | None = None,
     retention: float = 60.0,
     quarantine_duration: float = 600.0,
     capacity: int = 8192,
@@ -289,6 +396,9 @@
         Incarnation of this node.
     service : str
         Service of the node's backend server.
+    rule : EvidenceRule or None, default=None
+        Combines the evidence of several nodes; None if each report reaches all
+        nodes of the service.
     retention : float, default=60.0
         Seconds after which a fingerprint without new evidence is removed;
         1 to 3600.
@@ -307,5 +417,10 @@
     check_range('quarantine_duration', quarantine_duration, 1.0, 86_400.0)
     check_range('capacity', capacity, 2, 1_000_000)
     return RequestQuarantine(
-        node, service, retention, quarantine_duration, capacity
+        node,
+        service,
+        SharedEvidence(service) if rule is None else rule,
+        retention,
+        quarantine_duration,
+        capacity,
     )
--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -31,6 +31,7 @@
     encode_frame,
 )
 from mustardshunt.relay._http_parser import AnswerHead
+from mustardshunt.relay._listening import is_listening
 from mustardshunt.relay._loop import make_event_loop
 from mustardshunt.relay._messages import (
     HOP_BY_HOP_HEADERS,
@@ -41,6 +42,11 @@
     lower_name,
     render_headers,
 )
+from mustardshunt.relay._quarantine_frames import (
+    CrashReportFrame,
+    LiftFrame,
+    VerdictFrame,
+)
 from mustardshunt.relay._server import HttpServer
 from mustardshunt.relay._server_frames import (
     BackendServerStatusUpdate,
@@ -62,6 +68,7 @@
     'Call',
     'CallStatusRequest',
     'Cancel',
+    'CrashReportFrame',
     'FailureKind',
     'Frame',
     'FrameError',
@@ -71,6 +78,7 @@
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'LiftFrame',
     'MemberState',
     'NotRun',
     'OperatorState',
@@ -83,9 +91,11 @@
     'StateRequest',
     'TokenGrantFrame',
     'TokenRequestFrame',
+    'VerdictFrame',
     'decode_frame',
     'dial',
     'encode_frame',
+    'is_listening',
     'listen',
     'lower_name',
     'make_event_loop',
--- a/mustardshunt/relay/_frame_types.py
+++ b/mustardshunt/relay/_frame_types.py
@@ -7,6 +7,11 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from mustardshunt.relay._quarantine_frames import (
+    CrashReportFrame,
+    LiftFrame,
+    VerdictFrame,
+)
 from mustardshunt.relay._server_frames import (
     BackendServerStatusUpdate,
     ServerLeaving,
@@ -70,6 +75,8 @@
         Header lines that are passed on.
     body : bytes
         Complete body.
+    fingerprint : str, default=''
+        Digest that is the same for all repeats of the request.
     """
 
     number: int
@@ -86,6 +93,7 @@
     target: str
     head: bytes
     body: bytes
+    fingerprint: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -340,4 +348,7 @@
     | TokenGrantFrame
     | ServerLeaving
     | ServerLimit
+    | CrashReportFrame
+    | VerdictFrame
+    | LiftFrame
 )
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -25,6 +25,11 @@
     TokenGrantFrame,
     TokenRequestFrame,
 )
+from mustardshunt.relay._quarantine_frames import (
+    CrashReportFrame,
+    LiftFrame,
+    VerdictFrame,
+)
 from mustardshunt.relay._server_frames import (
     BackendServerStatusUpdate,
     ServerLeaving,
@@ -56,6 +61,9 @@
     TokenGrantFrame,
     ServerLeaving,
     ServerLimit,
+    CrashReportFrame,
+    VerdictFrame,
+    LiftFrame,
 )
 _TYPE_BY_NAME: Final = {
     'str': str,
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -7,6 +7,7 @@
 from mustardshunt.load_balancing import Member
 from mustardshunt.observability import EventLog
 from mustardshunt.policy import PolicyRegistry
+from mustardshunt.quarantine import Fingerprint
 from mustardshunt.relay import (
     HOP_BY_HOP_HEADERS,
     Answered,
@@ -21,6 +22,7 @@
     render_headers,
 )
 from mustardshunt.sidecar._backend_server_reports import BackendServerReports
+from mustardshunt.sidecar._crash_monitor import CrashMonitor
 from mustardshunt.sidecar._dependencies import (
     NO_DEPENDENCY,
     DependencyCutoff,
@@ -61,6 +63,8 @@
         Admission control of the backend server.
     pool : BackendConnectionPool
         Connections to the backend server.
+    crashes : CrashMonitor
+        Knows the requests that crash backend servers.
     header_codec : HeaderCodec
         Reads and writes the HTTP headers of the platform.
     registry : PolicyRegistry
@@ -76,6 +80,7 @@
         own: Member,
         gate: BackendGate,
         pool: BackendConnectionPool,
+        crashes: CrashMonitor,
         header_codec: HeaderCodec,
         registry: PolicyRegistry,
         log: EventLog,
@@ -86,6 +91,7 @@
         self.gate = gate
         self.status_publisher = StatusPublisher(own.name, own.incarnation)
         self._pool = pool
+        self._crashes = crashes
         self._registry = registry
         self._log = log
         self.clock = clock
@@ -114,6 +120,9 @@
         if call.service != self.service or call.remaining_ms <= 0:
             self._refuse(call, sink, Reason.NOT_READY)
             return None
+        if self._crashes.seconds_left(Fingerprint(call.fingerprint)) > 0:
+            self._refuse(call, sink, Reason.QUARANTINED)
+            return None
         ticket = AdmissionRequest(
             (id(sink), call.number),
             call.priority_rank,
@@ -167,9 +176,11 @@
             # What the answer says about the backend server holds for the queued
             # calls that its end starts.
             self.reports.handle_answer(served.run, served.sent_at, metadata)
+            self._crashes.record_answer(served.call, served.run, metadata)
             dequeued = self._release(served)
             result = self._make_answer_result(served, outcome, metadata)
         else:
+            self._crashes.record_failure(served.call, served.run, outcome)
             dequeued = self._release(served)
             result = self._make_failure_result(served, outcome)
         is_overloaded = self.dependency.cutoff < self.gate.cutoff.maximum
@@ -179,6 +190,24 @@
         served.sink.deliver(served.call.number, result)
         self._apply(dequeued)
 
+    def refuse_quarantined(self, fingerprint: Fingerprint) -> None:
+        """Refuse the calls of a request that have not reached the server.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            Fingerprint of the request, whose quarantine has just started.
+        """
+        for served in list(self._served_by_ticket.values()):
+            if served.call.fingerprint != fingerprint or served.sent_at:
+                continue
+            if served.connection is not None:
+                served.connection.cancel(served)
+                continue
+            dequeued = self._release(served)
+            self._refuse(served.call, served.sink, Reason.QUARANTINED)
+            self._apply(dequeued)
+
     def set_evacuated(self, is_evacuated: bool) -> None:
         """Evacuate the backend server, or return it to service."""
         now = self.clock.now()
--- a/mustardshunt/sidecar/_control.py
+++ b/mustardshunt/sidecar/_control.py
@@ -1,8 +1,10 @@
 """HTTP handlers of a sidecar for readiness, heartbeats and metrics."""
 
+import json
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from mustardshunt.quarantine import Fingerprint, Verdict
 from mustardshunt.relay import HttpRequest, HttpResponse
 from mustardshunt.sidecar._backend_server_reports import BackendServerReports
 from mustardshunt.sidecar._lifecycle import SidecarLifecycle
@@ -12,6 +14,8 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
+_JSON: Final = b'Content-Type: application/json\r\n'
+_QUARANTINE_PATH: Final = '/quarantine'
 _TEXT: Final = b'Content-Type: text/plain; version=0.0.4\r\n'
 
 
@@ -40,8 +44,27 @@
         return False
 
 
+class QuarantineControl(Protocol):
+    """Shows and lifts quarantines of requests."""
+
+    def verdicts(self) -> list[Verdict]:
+        """Return the quarantined fingerprints with their evidence."""
+        ...
+
+    def seconds_left(self, fingerprint: Fingerprint) -> float:
+        """Return for how long a request is still refused."""
+        ...
+
+    def lift(self, fingerprint: Fingerprint) -> bool:
+        """End a quarantine at all nodes; tell if there was one."""
+        ...
+
+
 class MetricsHandler:
-    """Serves ``/metrics`` in the Prometheus text format.
+    """Serves ``/metrics`` in the Prometheus text format, and ``/quarantine``.
+
+    ``GET /quarantine`` lists the quarantined requests as JSON. ``DELETE
+    /quarantine/FINGERPRINT`` lifts one at all nodes.
 
     Parameters
     ----------
@@ -49,19 +72,28 @@
         Metrics of the node.
     refresh : callable
         Sets the gauges to their current values.
+    quarantine : QuarantineControl
+        Shows and lifts quarantines of requests.
     """
 
     def __init__(
         self,
         metrics: SidecarMetrics,
         refresh: Callable[[], None],
+        quarantine: QuarantineControl,
     ) -> None:
         self._metrics = metrics
         self._refresh = refresh
+        self._quarantine = quarantine
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer with the metrics as text, 404 on any other path."""
-        if request.target.partition('?')[0] != '/metrics':
+        path = request.target.partition('?')[0]
+        if path == _QUARANTINE_PATH:
+            return HttpResponse(_OK, _JSON, self._render_quarantine())
+        if request.method == 'DELETE':
+            return self._lift(path)
+        if path != '/metrics':
             return HttpResponse(_NOT_FOUND, b'', b'')
         self._refresh()
         return HttpResponse(_OK, _TEXT, self._metrics.render())
@@ -70,6 +102,26 @@
         """Return False: readings are taken one after the other."""
         return False
 
+    def _render_quarantine(self) -> bytes:
+        return json.dumps([
+            {
+                'fingerprint': verdict.fingerprint,
+                'level': verdict.level,
+                'seconds_left': round(
+                    self._quarantine.seconds_left(verdict.fingerprint), 1
+                ),
+                'crashes': list(verdict.crashes),
+            }
+            for verdict in self._quarantine.verdicts()
+        ]).encode()
+
+    def _lift(self, path: str) -> HttpResponse:
+        fingerprint = Fingerprint(path.removeprefix(f'{_QUARANTINE_PATH}/'))
+        if self._quarantine.seconds_left(fingerprint) <= 0:
+            return HttpResponse(_NOT_FOUND, b'', b'not quarantined here')
+        self._quarantine.lift(fingerprint)
+        return HttpResponse(_OK, b'', b'lifted')
+
 
 class HeartbeatCodec(Protocol):
     """Parses heartbeats and departures that a backend server sends."""
--- a/mustardshunt/sidecar/_deployment_relay.py
+++ b/mustardshunt/sidecar/_deployment_relay.py
@@ -127,6 +127,11 @@
         self._operators = operators
         self._members = members
 
+    @property
+    def is_following(self) -> bool:
+        """Whether this node follows the platform's changes for others."""
+        return self._gate.is_open
+
     @property
     def is_reporting(self) -> bool:
         """Whether this node follows, and the platform answers it."""
@@ -157,7 +162,7 @@
             informed.send(request)
         if now - self._reported_at >= REPORT_SECONDS and self._gate.is_open:
             self._reported_at = now
-            for link in self._listener_links():
+            for link in self.listener_links():
                 link.send(self.ping(link.member.name))
         is_following = self._role.is_following(now)
         if is_following == self._gate.is_open:
@@ -186,13 +191,13 @@
             return
         if update.document or update.evacuated or update.restored:
             state = self._updater.operator_state()
-            for link in self._listener_links():
+            for link in self.listener_links():
                 link.send(state)
 
     def report_members(self, update: MemberUpdate, base: int) -> None:
         """Send changed entries to the listeners."""
         frame = encode_member_state(update, base)
-        for link in self._listener_links():
+        for link in self.listener_links():
             link.send(frame)
 
     def greet(self, link: PeerLink, operator_change: int) -> None:
@@ -280,6 +285,15 @@
         if self._find_missing(operator_change, member_change) is not None:
             self._informed.note(link, self._clock.now())
 
+    def listener_links(self) -> list[PeerLink]:
+        """Return the open links to the nodes of this data centre."""
+        links = []
+        for name in self._listener_names:
+            link = self._links.find(name)
+            if link is not None and link.is_open:
+                links.append(link)
+        return links
+
     def _find_missing(
         self, operator_change: int, member_change: int
     ) -> StateRequest | None:
@@ -315,14 +329,6 @@
             frames.append(encode_member_state(snapshot, -1))
         return frames
 
-    def _listener_links(self) -> list[PeerLink]:
-        links = []
-        for name in self._listener_names:
-            link = self._links.find(name)
-            if link is not None and link.is_open:
-                links.append(link)
-        return links
-
     def _update_listeners(self) -> None:
         names = self._listener_names if self._gate.is_open else []
         self._links.set_listeners(names)
--- a/mustardshunt/sidecar/_ingress.py
+++ b/mustardshunt/sidecar/_ingress.py
@@ -22,6 +22,7 @@
     NotRun,
     render_headers,
 )
+from mustardshunt.sidecar._crash_monitor import CrashMonitor
 from mustardshunt.sidecar._dependencies import Dependencies
 from mustardshunt.sidecar._dependent_route_cache import DependentRouteCache
 from mustardshunt.sidecar._metrics import SidecarMetrics
@@ -104,6 +105,8 @@
         Sends calls to members.
     links : ServiceLinks
         Opens links to the members of a service.
+    crashes : CrashMonitor
+        Knows the requests that crash backend servers.
     header_codec : HeaderCodec
         Reads and writes the HTTP headers of the platform.
     log : EventLog
@@ -124,6 +127,7 @@
         rate_limiter: RateLimiter,
         sender: Sender,
         links: ServiceLinks,
+        crashes: CrashMonitor,
         header_codec: HeaderCodec,
         log: EventLog,
         metrics: SidecarMetrics,
@@ -137,6 +141,7 @@
         self._rate_limiter = rate_limiter
         self._sender = sender
         self._links = links
+        self._crashes = crashes
         self._header_codec = header_codec
         self._request_log = RequestLog(log, registry, clock)
         self._retries = Retries(
@@ -235,10 +240,12 @@
             render_headers(request.raw_headers, self._dropped_headers),
             now,
             now + remaining,
+            self._crashes.fingerprint(organisation, request),
         )
 
     async def _serve(self, context: RequestContext) -> HttpResponse:
         progress = Progress(tried=set())
+        self._check_quarantine(context)
         await self._acquire_token(context)
         self._retry_budget.record_request(
             context.service, retry_kind_of(context)
@@ -258,6 +265,11 @@
         self._request_log.log_late(context, progress)
         return HttpResponse(answer.status, answer.head, answer.body)
 
+    def _check_quarantine(self, context: RequestContext) -> None:
+        seconds_left = self._crashes.seconds_left(context.fingerprint)
+        if seconds_left > 0:
+            raise RefusedError(Reason.QUARANTINED, seconds_left)
+
     async def _acquire_token(self, context: RequestContext) -> None:
         organisation = context.organisation
         if not organisation:
@@ -280,6 +292,8 @@
         await self._links.prepare(context.service, self._clock.now())
         retries = self._retries
         while True:
+            # The verdict may have arrived since the last attempt.
+            self._check_quarantine(context)
             load = self._choose(context, progress)
             result = await self._send(context, load)
             if isinstance(result, Answered):
@@ -354,6 +368,7 @@
             target=request.target,
             head=context.head,
             body=request.body,
+            fingerprint=context.fingerprint,
         )
 
     def _record_result(
@@ -371,6 +386,7 @@
             has_failed = result.status >= _SERVER_ERROR
             has_failed = has_failed and result.status != _GATEWAY_TIMEOUT
             outcome = 'answered'
+            self._crashes.record_finished(context.fingerprint, load.member.name)
             self._dependent_route_cache.record_answer(
                 context.route.name,
                 result.is_dependent,
--- a/mustardshunt/sidecar/_metrics.py
+++ b/mustardshunt/sidecar/_metrics.py
@@ -80,6 +80,12 @@
             'Links to other nodes that were lost.',
             registry=registry,
         )
+        self.crashes = Counter(
+            'mustardshunt_crashes',
+            'Crashes of the backend server, and requests quarantined for them.',
+            ('event',),
+            registry=registry,
+        )
 
         # Caches metrics by label values, because the look-up by labels in the
         # client library costs more than the increment.
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -28,6 +28,8 @@
     MetricsHandler,
     ReadyHandler,
 )
+from mustardshunt.sidecar._crash_monitor import CrashMonitor
+from mustardshunt.sidecar._crash_relay import CrashRelay
 from mustardshunt.sidecar._deployment_relay import DeploymentRelay
 from mustardshunt.sidecar._deployment_updater import (
     DeploymentUpdater,
@@ -160,10 +162,21 @@
             RequestLimits().max_body_bytes,
             self._mark_server_lost,
         )
+        backend_gate = make_backend_gate(settings.platform.heartbeat)
+        self._crashes = CrashMonitor(
+            self._own,
+            node.backend_server,
+            backend_gate.liveness,
+            settings.quarantine.fingerprint_key.encode(),
+            log,
+            self._metrics,
+            self._clock,
+        )
         self._callee = Callee(
             self._own,
-            make_backend_gate(settings.platform.heartbeat),
+            backend_gate,
             self._pool,
+            self._crashes,
             adapter.header_codec,
             self._registry,
             log,
@@ -200,6 +213,12 @@
             log,
             self._clock,
         )
+        self._crash_relay = CrashRelay(
+            self._own, self._crashes, self._relay, self._links, self._clock
+        )
+        self._crashes.connect(
+            self._crash_relay, self._callee.refuse_quarantined
+        )
         self._operator_sync = OperatorSync(
             adapter.operators,
             self._updater.apply_operator_update,
@@ -235,6 +254,7 @@
             rate_limiter,
             CallSender(node.name, local, self._links),
             self._links,
+            self._crashes,
             adapter.header_codec,
             log,
             self._metrics,
@@ -248,7 +268,7 @@
             RequestLimits,
         )
         self._metrics_server = HttpServer(
-            MetricsHandler(self._metrics, self._refresh_metrics),
+            MetricsHandler(self._metrics, self._refresh_metrics, self._crashes),
             RequestLimits,
         )
         self._peers = PeerServer(
@@ -256,6 +276,7 @@
             PeerServices(
                 self._relay,
                 rate_limiter,
+                self._crash_relay,
             ),
             log,
         )
@@ -285,6 +306,7 @@
             ('members', self._member_sync.run),
             ('registration', self._member_sync.run_registration),
             ('tick', self._run_ticks),
+            ('crashes', self._crashes.run),
         ):
             self._background.start(name, run)
         try:
@@ -330,6 +352,7 @@
             if now - checked_at >= CHECK_INTERVAL_SECONDS:
                 checked_at = now
                 self._relay.check(now)
+                self._crash_relay.check(now)
                 self._links.check(now)
                 self._peers.check(now)
                 self._callee.adjust_cutoff(now)
@@ -393,6 +416,7 @@
             self._own.incarnation,
             self._updater,
             self._relay,
+            self._crash_relay,
             self._log,
             self._metrics,
         )
@@ -400,9 +424,11 @@
     def _apply_members(self, by_name: dict[str, Member]) -> None:
         self._updater.apply_members(by_name)
         self._relay.set_members(by_name)
+        self._crash_relay.set_members(by_name)
 
     def _mark_server_lost(self) -> None:
         self._callee.reports.mark_unreachable()
+        self._crashes.record_refused()
 
     def _reload(self) -> None:
         if self._file is None:
@@ -461,6 +487,7 @@
         'listen': old.listen == new.listen,
         'platform': old.platform == new.platform,
         'bounds': old.bounds == new.bounds,
+        'quarantine': old.quarantine == new.quarantine,
     }
     return [name for name, is_same in sections.items() if not is_same]
 
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -15,10 +15,12 @@
     Call,
     CallStatusRequest,
     Cancel,
+    CrashReportFrame,
     Frame,
     FrameError,
     FrameStream,
     Hello,
+    LiftFrame,
     MemberState,
     NotRun,
     OperatorState,
@@ -27,6 +29,7 @@
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
+    VerdictFrame,
     dial,
 )
 from mustardshunt.sidecar._metrics import SidecarMetrics
@@ -102,6 +105,20 @@
         ...
 
 
+class CrashPeers(Protocol):
+    """Exchanges crash reports and verdicts with peers."""
+
+    def greet(self, sink: 'PeerLink') -> None:
+        """Tell the verdicts to a peer whose link has just opened."""
+        ...
+
+    def receive(
+        self, frame: CrashReportFrame | VerdictFrame | LiftFrame, name: str
+    ) -> None:
+        """Handle a frame of a peer."""
+        ...
+
+
 class PeerLink:
     """Sends calls to one node and receives their results.
 
@@ -118,6 +135,8 @@
         Receives events and messages of the peer.
     deployment : DeploymentPeers
         Exchanges the state of the deployment with the peer.
+    crashes : CrashPeers
+        Exchanges crash reports and verdicts with the peer.
     log : EventLog
         Log of links that open, are lost, are silent or get invalid frames.
     metrics : SidecarMetrics
@@ -130,6 +149,7 @@
         incarnation: str,
         events: PeerEvents,
         deployment: DeploymentPeers,
+        crashes: CrashPeers,
         log: EventLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -137,6 +157,7 @@
         self._incarnation = incarnation
         self._events = events
         self._deployment = deployment
+        self._crashes = crashes
         self._log = log
         self._metrics = metrics
         self._stream: FrameStream | None = None
@@ -306,6 +327,9 @@
         if isinstance(frame, TokenGrantFrame):
             self._events.peer_tokens(self.member.name, frame)
             return
+        if isinstance(frame, CrashReportFrame | VerdictFrame | LiftFrame):
+            self._crashes.receive(frame, self.member.name)
+            return
         self._handle_state(frame)
 
     def _handle_state(self, frame: Frame) -> None:
@@ -340,6 +364,7 @@
                 incarnation=update.incarnation,
             )
             self._deployment.greet(self, update.revision)
+            self._crashes.greet(self)
             for wanted_tokens in self._wanted_by_organisation.items():
                 stream.send(TokenRequestFrame(*wanted_tokens))
             self._wanted_by_organisation.clear()
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -14,10 +14,12 @@
     Call,
     CallStatusRequest,
     Cancel,
+    CrashReportFrame,
     Frame,
     FrameError,
     FrameStream,
     Hello,
+    LiftFrame,
     MemberState,
     NotRun,
     OperatorState,
@@ -28,6 +30,7 @@
     StateRequest,
     TokenGrantFrame,
     TokenRequestFrame,
+    VerdictFrame,
     listen,
 )
 from mustardshunt.sidecar._callee import Callee
@@ -90,6 +93,30 @@
         ...
 
 
+class CrashServices(Protocol):
+    """Exchanges crash reports and verdicts with nodes that open links."""
+
+    def hear_ping(
+        self, name: str, is_follower: bool, sink: FrameStream
+    ) -> None:
+        """Record whether a peer follows, and how it can be reached."""
+        ...
+
+    def lose_peer(self, name: str) -> None:
+        """Record that the link of a peer was lost."""
+        ...
+
+    def greet(self, sink: FrameStream) -> None:
+        """Tell the verdicts to a peer whose link has just opened."""
+        ...
+
+    def receive(
+        self, frame: CrashReportFrame | VerdictFrame | LiftFrame, name: str
+    ) -> None:
+        """Handle a frame of a peer."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class PeerServices:
     """Functions that serve requests of other nodes, except calls.
@@ -100,10 +127,13 @@
         Exchanges the state of the deployment with other nodes.
     tokens : TokenServices
         Moves tokens of the organisations' rates.
+    crashes : CrashServices
+        Exchanges crash reports and verdicts with other nodes.
     """
 
     relay: DeploymentServices
     tokens: TokenServices
+    crashes: CrashServices
 
 
 class PeerSession:
@@ -298,6 +328,7 @@
             if session is not None and session.stream is stream:
                 session.stream = None
                 self._services.relay.lose_peer(session.name)
+                self._services.crashes.lose_peer(session.name)
                 self._callee.status_publisher.unsubscribe(session)
                 loop = asyncio.get_running_loop()
                 loop.call_later(
@@ -332,6 +363,7 @@
             replaced_stream.abort()
             self._callee.status_publisher.unsubscribe(session)
         self._callee.status_publisher.subscribe(session, self._callee.status())
+        self._services.crashes.greet(stream)
         return session
 
     def _handle(
@@ -340,16 +372,16 @@
         session: PeerSession,
         stream: FrameStream,
     ) -> None:
+        if isinstance(frame, CrashReportFrame | VerdictFrame | LiftFrame):
+            self._services.crashes.receive(frame, session.name)
+            return
         match frame:
             case Call():
                 session.start(frame)
             case Cancel():
                 session.cancel(frame.number)
             case Ping():
-                missing = self._services.relay.hear_ping(session.name, frame)
-                if missing is not None:
-                    stream.send(missing)
-                stream.send(Pong(*self._services.relay.changes()))
+                self._handle_ping(frame, session.name, stream)
             case CallStatusRequest():
                 session.report_call_statuses(frame.numbers)
             case TokenRequestFrame() | TokenGrantFrame():
@@ -359,6 +391,14 @@
             case StateRequest() | OperatorState() | MemberState():
                 self._handle_state(frame, stream)
 
+    def _handle_ping(self, ping: Ping, name: str, stream: FrameStream) -> None:
+        relay = self._services.relay
+        missing = relay.hear_ping(name, ping)
+        if missing is not None:
+            stream.send(missing)
+        stream.send(Pong(*relay.changes()))
+        self._services.crashes.hear_ping(name, ping.is_follower, stream)
+
     def _handle_tokens(
         self,
         frame: TokenRequestFrame | TokenGrantFrame,
--- a/mustardshunt/sidecar/_request_context.py
+++ b/mustardshunt/sidecar/_request_context.py
@@ -4,6 +4,7 @@
 
 from mustardshunt.base import Reason
 from mustardshunt.policy import ActivePolicy, RoutePolicy
+from mustardshunt.quarantine import Fingerprint
 from mustardshunt.relay import Answered, HttpRequest
 from mustardshunt.sidecar._ports import RequestMetadata
 from mustardshunt.sidecar._refusals import RefusedError
@@ -35,6 +36,8 @@
         Time at which the request arrived, in seconds.
     deadline : float
         Time at which the caller stops waiting, in seconds.
+    fingerprint : Fingerprint
+        Digest that is the same for all repeats of the request.
     """
 
     request: HttpRequest
@@ -47,6 +50,7 @@
     head: bytes
     started_at: float
     deadline: float
+    fingerprint: Fingerprint
 
 
 @dataclass(slots=True)
--- a/mustardshunt/sidecar/_retries.py
+++ b/mustardshunt/sidecar/_retries.py
@@ -16,6 +16,10 @@
 # member is not a retry.
 MAX_REROUTES: Final = 3
 
+# Time after which a caller may retry a request that another node has refused as
+# quarantined. By then this node knows how long the quarantine lasts.
+QUARANTINED_RETRY_AFTER_SECONDS: Final = 10.0
+
 _SERVER_ERROR: Final = 500
 _GATEWAY_TIMEOUT: Final = 504
 
@@ -96,6 +100,8 @@
         reason = Reason(result.reason)
         progress.last_reason = reason
         progress.refusals += 1
+        if reason is Reason.QUARANTINED:
+            raise RefusedError(reason, QUARANTINED_RETRY_AFTER_SECONDS)
         if progress.refusals > MAX_REROUTES:
             raise unavailable(reason, context.route.latency_objective)
         if reason is not Reason.REJECTED:
--- a/mustardshunt/sidecar/_settings.py
+++ b/mustardshunt/sidecar/_settings.py
@@ -14,6 +14,8 @@
 )
 
 _UNIT_SECONDS: Final = {'ms': 0.001, 's': 1.0}
+# Longest key of a digest.
+MAX_KEY_BYTES: Final = 64
 _TRUE: Final = 'true'
 _FALSE: Final = 'false'
 
@@ -136,6 +138,21 @@
     cap_slack: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineSection:
+    """Section ``[quarantine]``: requests that crash backend servers.
+
+    Parameters
+    ----------
+    fingerprint_key : str
+        Key of the digests that stand for requests in logs, the same at all
+        nodes; at most 64 bytes. Who does not know it cannot tell from a log
+        whether a request that they guess was sent.
+    """
+
+    fingerprint_key: str = 'mustardshunt'
+
+
 @dataclass(frozen=True, slots=True)
 class SidecarSettings:
     """Everything that a sidecar reads from its settings file.
@@ -150,12 +167,15 @@
         Address of the platform's store and heartbeat interval.
     bounds : BoundsSection
         Limits that hold for all nodes together.
+    quarantine : QuarantineSection
+        Requests that crash backend servers.
     """
 
     node: NodeSection
     listen: ListenSection
     platform: PlatformSection
     bounds: BoundsSection
+    quarantine: QuarantineSection = QuarantineSection()
 
 
 _CLASS_BY_SECTION: Final[dict[str, type[Any]]] = {
@@ -163,6 +183,7 @@
     'listen': ListenSection,
     'platform': PlatformSection,
     'bounds': BoundsSection,
+    'quarantine': QuarantineSection,
 }
 
 
@@ -320,7 +341,9 @@
             )
             continue
         try:
-            values[option] = _convert(found[option].strip(), option_type)
+            values[option] = _read_option(
+                option, found[option].strip(), option_type
+            )
         except ValueError as error:
             faults.append(
                 ValidationIssue(file, location, found[option], str(error))
@@ -358,6 +381,12 @@
     return text
 
 
+def _read_option(option: str, text: str, option_type: Any) -> Any:
+    if option == 'fingerprint_key' and len(text.encode()) > MAX_KEY_BYTES:
+        raise ValueError(f'at most {MAX_KEY_BYTES} bytes')
+    return _convert(text, option_type)
+
+
 def _address(text: str) -> VmAddress:
     host, _, port = text.rpartition(':')
     if not host or not port.isdigit():
--- a/mustardshunt/sidecar/tests/test_call_status_properties.py
+++ b/mustardshunt/sidecar/tests/test_call_status_properties.py
@@ -19,7 +19,11 @@
     PeerServices,
     PeerSession,
 )
-from mustardshunt.sidecar.tests.test_peer_session import NoDeployment, NoTokens
+from mustardshunt.sidecar.tests.test_peer_session import (
+    NoCrashes,
+    NoDeployment,
+    NoTokens,
+)
 from mustardshunt.upstream import AdmissionRequest
 
 INCARNATION = 'a-1'
@@ -87,7 +91,7 @@
 
     def __init__(self) -> None:
         self.callee = FakeCallee()
-        services = PeerServices(NoDeployment(), NoTokens())
+        services = PeerServices(NoDeployment(), NoTokens(), NoCrashes())
         self.server = PeerServer(self.callee, services, EventLog(None))
         self.stream: FakeStream | None = None
         self.session: PeerSession | None = None
--- a/mustardshunt/sidecar/tests/test_peer_link.py
+++ b/mustardshunt/sidecar/tests/test_peer_link.py
@@ -31,6 +31,13 @@
         self.is_open = False
 
 
+class NoCrashes:
+    """Tells no verdict to the peer of a link."""
+
+    def greet(self, link: PeerLink) -> None:
+        pass
+
+
 class Events:
     """Ignores the events of a link, except published statuses."""
 
@@ -53,7 +60,7 @@
 def make_link(events: Events, member: Member = MEMBER) -> PeerLink:
     metrics = SimpleNamespace(link_losses=SimpleNamespace(inc=lambda: None))
     log = SimpleNamespace(record=lambda *_, **inputs: None)
-    return PeerLink(member, 'a-1', events, events, log, metrics)
+    return PeerLink(member, 'a-1', events, events, NoCrashes(), log, metrics)
 
 
 def open_link(events: Events) -> tuple[PeerLink, FakeStream]:
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -85,8 +85,21 @@
         return 0
 
 
+class NoCrashes:
+    """Crash services of a node that knows no crash."""
+
+    def hear_ping(self, name: str, is_follower: bool, sink: object) -> None:
+        pass
+
+    def lose_peer(self, name: str) -> None:
+        pass
+
+    def greet(self, sink: object) -> None:
+        pass
+
+
 def make_server() -> PeerServer:
-    services = PeerServices(NoDeployment(), NoTokens())
+    services = PeerServices(NoDeployment(), NoTokens(), NoCrashes())
     return PeerServer(FakeCallee(), services, EventLog(None))
 
 
--- a/mustardshunt/standin/sidecar_backend_server.py
+++ b/mustardshunt/standin/sidecar_backend_server.py
@@ -52,6 +52,10 @@
         Body of the responses.
     extra_headers : dict of str to str
         Further headers of the responses.
+    crash_marker : str
+        Requests with this text in their path crash the server, empty for none.
+    restart_time : float
+        Seconds after which a crashed server starts again, under a new id.
     """
 
     service_time: float = 0.0
@@ -59,6 +63,8 @@
     sheds: bool = False
     body: bytes = b'whole answer'
     extra_headers: dict[str, str] = field(default_factory=dict)
+    crash_marker: str = ''
+    restart_time: float = 1.5
 
 
 class SidecarBackendServer:
@@ -95,10 +101,12 @@
         self.slots = 8
         self.cold_remaining_ms = 0
         self.acknowledged_heartbeats = 0
+        self.crash_count = 0
         self._node_address = control
         self._heartbeat_sequence = 0
         self._runner: web.ServerRunner | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._restart_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen for requests and start to send heartbeats."""
@@ -117,6 +125,11 @@
 
     async def stop(self) -> None:
         """Stop listening and sending heartbeats, as in a crash."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
+        await self._stop_serving()
+
+    async def _stop_serving(self) -> None:
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
         if self._runner is not None:
@@ -182,6 +195,12 @@
         id_header = {'Mustardshunt-Request-Id': request_id}
         if expected not in {None, self.instance}:
             return web.Response(status=421, headers=id_header)
+        marker = self.behaviour.crash_marker
+        if marker and marker in request.path:
+            if request.transport is not None:
+                request.transport.abort()
+            self._crash()
+            return web.Response()
         if self.behaviour.sheds:
             not_run = {**id_header, 'Mustardshunt-Not-Executed': '1'}
             return web.Response(
@@ -202,3 +221,17 @@
                 **self.behaviour.extra_headers,
             },
         )
+
+    def _crash(self) -> None:
+        if self._restart_task is None or self._restart_task.done():
+            self.crash_count += 1
+            self._restart_task = asyncio.create_task(
+                self._restart(), name='restart'
+            )
+
+    async def _restart(self) -> None:
+        await self._stop_serving()
+        await asyncio.sleep(self.behaviour.restart_time)
+        self.instance = f'{self.instance.split(".")[0]}.{self.crash_count}'
+        self._heartbeat_sequence = 0
+        await self.start()
--- a/mustardshunt/upstream/__init__.py
+++ b/mustardshunt/upstream/__init__.py
@@ -16,6 +16,7 @@
 )
 from mustardshunt.upstream._gate import BackendGate, make_backend_gate
 from mustardshunt.upstream._leaving_runs import LeavingRuns
+from mustardshunt.upstream._liveness import LivenessTracker
 
 __all__ = [
     'AdmissionDecision',
@@ -25,6 +26,7 @@
     'DequeuedCalls',
     'Heartbeat',
     'LeavingRuns',
+    'LivenessTracker',
     'RefusedCall',
     'ServerPhase',
     'ServerRun',
--- a/mustardshunt/upstream/_leaving_runs.py
+++ b/mustardshunt/upstream/_leaving_runs.py
@@ -29,7 +29,7 @@
         self._size = size
         self._by_run: OrderedDict[ServerRun, None] = OrderedDict()
 
-    def __contains__(self, run: ServerRun | None) -> bool:
+    def __contains__(self, run: object) -> bool:
         return run in self._by_run
 
     def add(self, run: ServerRun) -> None:
--- a/mustardshunt/upstream/_liveness.py
+++ b/mustardshunt/upstream/_liveness.py
@@ -53,6 +53,10 @@
         """Whether the current process has announced that it leaves."""
         return self.run in self._leaving_runs
 
+    def has_announced_leaving(self, run: object) -> bool:
+        """Tell whether a process has announced that it leaves."""
+        return run in self._leaving_runs
+
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat and the phase that the heartbeat reports.
 
