Play crashing requests and returns of the store in the soak

The random faults also let the store come back from a copy, and repeat requests that crash backend servers. At the end each node must use the newest policy, a new crashing request must not be sent on after its third crash, and no harmless request may have been refused as quarantined.

--- a/mustardshunt/standin/sidecar_backend_server.py
+++ b/mustardshunt/standin/sidecar_backend_server.py
@@ -102,6 +102,7 @@
         self.cold_remaining_ms = 0
         self.acknowledged_heartbeats = 0
         self.crash_count = 0
+        self.on_crash: Callable[[str], None] = _ignore_crash
         self._node_address = control
         self._heartbeat_sequence = 0
         self._runner: web.ServerRunner | None = None
@@ -199,7 +200,7 @@
         if marker and marker in request.path:
             if request.transport is not None:
                 request.transport.abort()
-            self._crash()
+            self._crash(request.path)
             return web.Response()
         if self.behaviour.sheds:
             not_run = {**id_header, 'Mustardshunt-Not-Executed': '1'}
@@ -222,9 +223,10 @@
             },
         )
 
-    def _crash(self) -> None:
+    def _crash(self, path: str) -> None:
         if self._restart_task is None or self._restart_task.done():
             self.crash_count += 1
+            self.on_crash(path)
             self._restart_task = asyncio.create_task(
                 self._restart(), name='restart'
             )
@@ -235,3 +237,7 @@
         self.instance = f'{self.instance.split(".")[0]}.{self.crash_count}'
         self._heartbeat_sequence = 0
         await self.start()
+
+
+def _ignore_crash(path: str) -> None:
+    """Do nothing when a request crashes the server."""
--- a/mustardshunt/standin/soak/__main__.py
+++ b/mustardshunt/standin/soak/__main__.py
@@ -30,7 +30,11 @@
     failed_soaks = 0
     for seed in range(first, first + options.seeds):
         plan = SoakPlan(
-            seed, options.nodes, options.seconds, has_announcements=True
+            seed,
+            options.nodes,
+            options.seconds,
+            has_announcements=True,
+            has_incidents=True,
         )
         result = asyncio.run(run_soak(plan))
         statuses = dict(sorted(result.statuses.items()))
--- a/mustardshunt/standin/soak/_fleet.py
+++ b/mustardshunt/standin/soak/_fleet.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import contextlib
 import functools
+import itertools
 import json
 import os
 import signal
@@ -12,6 +14,8 @@
 from pathlib import Path
 from typing import Any, Final
 
+import aiohttp
+
 from mustardshunt.base import VmAddress
 from mustardshunt.standin.sidecar_backend_server import (
     ReceivedRequest,
@@ -49,6 +53,11 @@
     'peers_proxy': 21008,
 }
 _RESTART_SECONDS: Final = 0.3
+_SERVER_RESTART_SECONDS: Final = 1.0
+# Requests with this text in their path crash each backend server.
+CRASH_MARKER: Final = 'poison'
+_REPEAT_SECONDS: Final = 0.2
+_TIMEOUT_SECONDS: Final = 3.0
 # Prefix of the loopback addresses. The prefix depends on the process id, so
 # that soaks that run at the same time do not use the same addresses.
 _NETWORK: Final = f'127.{128 + os.getpid() // 250 % 64}.{os.getpid() % 250}'
@@ -185,7 +194,10 @@
         )
         server.behaviour.body = ANSWER_BODY
         server.behaviour.service_time = 0.01
+        server.behaviour.crash_marker = CRASH_MARKER
+        server.behaviour.restart_time = _SERVER_RESTART_SECONDS
         server.on_request = functools.partial(self._record_execution, instance)
+        server.on_crash = self._record_crash
         await server.start()
         self._server = server
 
@@ -277,6 +289,10 @@
         now = asyncio.get_running_loop().time()
         self._history.executions.append(Execution(now, instance, request))
 
+    def _record_crash(self, path: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._history.crashes_at_by_path.setdefault(path, []).append(now)
+
     def _record_disruption(self) -> None:
         now = asyncio.get_running_loop().time()
         self._history.disrupted_at_by_node[self.addresses.name] = now
@@ -349,6 +365,80 @@
         self.version += 1
         self.store.put('op', 'config', _policy(self.version))
 
+    async def return_store_from_copy(self, age: float, seconds: float) -> None:
+        """Let the store go away and come back from a copy.
+
+        The operator writes the newest policy again, and then the next one.
+
+        Parameters
+        ----------
+        age : float
+            Age of the copy in seconds.
+        seconds : float
+            Time for which the store is away.
+        """
+        copy = self.store.take_copy()
+        await asyncio.sleep(age)
+        self.store.is_down = True
+        await asyncio.sleep(seconds)
+        self.store.return_from(copy)
+        self.store.put('op', 'config', _policy(self.version))
+        self.put_policy()
+        self.store.is_down = False
+
+    async def repeat_crashing_request(self, name: str, seconds: float) -> None:
+        """Send a request that crashes backend servers to each node in turn.
+
+        Parameters
+        ----------
+        name : str
+            Name that makes the request a new one.
+        seconds : float
+            Time for which it is repeated.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for number in itertools.count():
+                node = self.nodes[number % len(self.nodes)]
+                await self._send_crashing_request(
+                    session, node, f'{name}-{number}', name
+                )
+                await asyncio.sleep(_REPEAT_SECONDS)
+                if loop.time() > until:
+                    return
+
+    async def find_outdated_nodes(self) -> list[str]:
+        """Return the nodes that do not use the newest policy version."""
+        expected = f'mustardshunt_policy_version {float(self.version)}'
+        outdated = []
+        async with aiohttp.ClientSession() as session:
+            for node in self.nodes:
+                url = f'http://{node.addresses.address("metrics")}/metrics'
+                async with session.get(url) as response:
+                    if expected not in await response.text():
+                        outdated.append(node.addresses.name)
+        return outdated
+
+    async def _send_crashing_request(
+        self,
+        session: aiohttp.ClientSession,
+        node: SoakNode,
+        request_id: str,
+        name: str,
+    ) -> None:
+        url = f'http://{node.addresses.address("callers")}/read/{CRASH_MARKER}'
+        headers = {
+            'Host': 'h.example',
+            'Mustardshunt-Request-Id': request_id,
+            'Mustardshunt-Deadline-Ms': '1500',
+            'Authorization': f'Bearer {KEY_PREFIX}-{ORGANISATIONS[0]}',
+        }
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with session.get(f'{url}-{name}', headers=headers) as reply:
+                await reply.read()
+
     def _route_peers_through_proxy(
         self, table: str, key: str, value: str
     ) -> str:
--- a/mustardshunt/standin/soak/_invariants.py
+++ b/mustardshunt/standin/soak/_invariants.py
@@ -31,6 +31,12 @@
 LIMIT_EXCESS_RATIO: Final = 1.5
 LIMIT_EXCESS_REQUESTS: Final = 5
 LIMIT_TOLD_SECONDS: Final = 0.5
+# A request that has crashed three backend servers may reach at most three more,
+# later than this time after the third crash.
+STABLE_WINDOW_SECONDS: Final = 3.0
+MAX_LATE_CRASHES: Final = 3
+_COUNTED_CRASHES: Final = 3
+_QUARANTINED: Final = b'quarantined'
 _OK_STATUS: Final = 200
 
 
@@ -148,6 +154,8 @@
     leaving_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     limit_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     limit_ended_at_by_instance: dict[str, float] = field(default_factory=dict)
+    # When a request that crashes backend servers has crashed one, by its path.
+    crashes_at_by_path: dict[str, list[float]] = field(default_factory=dict)
     # A restart or a pause of a node excuses it from what it was told before.
     disrupted_at_by_node: dict[str, float] = field(default_factory=dict)
 
@@ -177,6 +185,32 @@
             return False
         return self.disrupted_at_by_node.get(sent.node, 0.0) < told_at
 
+    def find_late_crashes(self, path: str) -> list[Violation]:
+        """Return a violation if a request has crashed too many servers.
+
+        Parameters
+        ----------
+        path : str
+            Path of a request that was repeated while there were no faults.
+        """
+        crashes = self.crashes_at_by_path.get(path, [])
+        late = [
+            crash
+            for crash in crashes[_COUNTED_CRASHES:]
+            if crash > crashes[_COUNTED_CRASHES - 1] + STABLE_WINDOW_SECONDS
+        ]
+        if len(late) <= MAX_LATE_CRASHES:
+            return []
+        return [Violation('crashes', path, f'{len(late)} late of {crashes}')]
+
+    def find_refused_harmless(self) -> list[Violation]:
+        """Return the harmless requests that were refused as quarantined."""
+        return [
+            Violation('harmless', request_id, 'refused as quarantined')
+            for request_id, reply in self.reply_by_id.items()
+            if reply.body == _QUARANTINED
+        ]
+
     def find_violations(
         self,
         key: str,
--- a/mustardshunt/standin/soak/_run.py
+++ b/mustardshunt/standin/soak/_run.py
@@ -15,11 +15,15 @@
     CAP_BURST,
     CAP_RATE,
     CAPPED_ORGANISATION,
+    CRASH_MARKER,
     KEY_PREFIX,
     SoakFleet,
     SoakNode,
 )
-from mustardshunt.standin.soak._invariants import Violation
+from mustardshunt.standin.soak._invariants import (
+    STABLE_WINDOW_SECONDS,
+    Violation,
+)
 from mustardshunt.standin.soak._proxy import ConnectionFault
 
 CALLERS_PER_NODE: Final = 3
@@ -30,6 +34,10 @@
 RECOVERY_TIMEOUT_SECONDS: Final = 15.0
 MAX_FAULT_GAP_SECONDS: Final = 0.8
 MAX_FAULT_SECONDS: Final = 3.0
+# Request that crashes backend servers after all faults have ended, and for how
+# long it is repeated.
+LAST_REQUEST: Final = 'last'
+LAST_REQUEST_SECONDS: Final = 8.0
 
 _Fault: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
 
@@ -51,12 +59,16 @@
         Whether backend servers also announce limits and their leaving in their
         answers. Without them, a seed draws the same faults as before they were
         added.
+    has_incidents : bool
+        Whether requests crash backend servers, and the store comes back from
+        copies; without them, as for ``has_announcements``.
     """
 
     seed: int
     nodes: int = 3
     seconds: float = 20.0
     has_announcements: bool = False
+    has_incidents: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,17 +103,17 @@
         Fleet into which faults are injected.
     source : random.Random
         Source of the random choice of faults.
-    has_announcements : bool
-        Whether backend servers announce limits and their leaving.
+    plan : SoakPlan
+        Kinds of faults.
     """
 
     def __init__(
         self,
         fleet: SoakFleet,
         source: random.Random,
-        has_announcements: bool,
+        plan: SoakPlan,
     ) -> None:
-        self._has_announcements = has_announcements
+        self._plan = plan
         self._fleet = fleet
         self._random = source
         self._tasks: list[asyncio.Task[None]] = []
@@ -141,12 +153,26 @@
             ('trouble', lambda: self._inject_connection_fault(node, duration)),
             ('trouble', lambda: self._inject_connection_fault(node, duration)),
         ]
-        if self._has_announcements:
+        if self._plan.has_announcements:
             faults += [
                 ('limit', lambda: node.limit_server(duration)),
                 ('limit', lambda: node.limit_server(duration)),
                 ('leaving', lambda: node.announce_leaving(duration)),
             ]
+        if self._plan.has_incidents:
+            age = MAX_FAULT_SECONDS * self._random.random()
+            faults += [
+                (
+                    'store restored',
+                    lambda: self._fleet.return_store_from_copy(age, duration),
+                ),
+                (
+                    'crashing request',
+                    lambda: self._fleet.repeat_crashing_request(
+                        f'{len(self.fault_log)}', duration
+                    ),
+                ),
+            ]
         name, fault = self._random.choice(faults)
         return f'{name} {node.addresses.name} {duration:.2f}', fault
 
@@ -194,7 +220,7 @@
         for node in fleet.nodes
         for _ in range(CALLERS_PER_NODE)
     ]
-    injector = FaultInjector(fleet, source, plan.has_announcements)
+    injector = FaultInjector(fleet, source, plan)
     tasks: list[asyncio.Task[None]] = []
     violations: list[Violation] = []
     try:
@@ -210,15 +236,7 @@
                 )
             )
         await injector.run(plan.seconds)
-        if not await _all_served(callers, RECOVERY_TIMEOUT_SECONDS):
-            violations.append(
-                Violation(
-                    'recovery',
-                    '',
-                    'a caller got no response with status 200 within '
-                    f'{RECOVERY_TIMEOUT_SECONDS:.0f} s of the last fault',
-                )
-            )
+        violations.extend(await _check_end(plan, fleet, callers))
     finally:
         for task in tasks:
             task.cancel()
@@ -239,6 +257,39 @@
     )
 
 
+async def _check_end(
+    plan: SoakPlan, fleet: SoakFleet, callers: list[Caller]
+) -> list[Violation]:
+    violations = []
+    if not await _all_served(callers, RECOVERY_TIMEOUT_SECONDS):
+        violations.append(
+            Violation(
+                'recovery',
+                '',
+                'a caller got no response with status 200 within '
+                f'{RECOVERY_TIMEOUT_SECONDS:.0f} s of the last fault',
+            )
+        )
+    if plan.has_incidents:
+        violations.extend(await _check_incidents(fleet))
+    return violations
+
+
+async def _check_incidents(fleet: SoakFleet) -> list[Violation]:
+    """Check the newest policy and a new crashing request after all faults."""
+    outdated = await fleet.find_outdated_nodes()
+    violations = [
+        Violation('policy', '', f'{name} does not use version {fleet.version}')
+        for name in outdated
+    ]
+    await asyncio.sleep(STABLE_WINDOW_SECONDS)
+    await fleet.repeat_crashing_request(LAST_REQUEST, LAST_REQUEST_SECONDS)
+    path = f'/read/{CRASH_MARKER}-{LAST_REQUEST}'
+    violations.extend(fleet.history.find_late_crashes(path))
+    violations.extend(fleet.history.find_refused_harmless())
+    return violations
+
+
 async def _all_served(callers: list[Caller], seconds: float) -> bool:
     before = [caller.served for caller in callers]
     loop = asyncio.get_running_loop()
--- a/mustardshunt/standin/soak/tests/test_soak.py
+++ b/mustardshunt/standin/soak/tests/test_soak.py
@@ -30,3 +30,16 @@
     )
     assert not result.violations, (result.faults, result.directory)
     assert result.statuses.get(200, 0) > 0
+
+
+async def test_incidents_end_under_random_faults():
+    """Crashing requests and returns of the store must stay without effect.
+
+    Harmless requests are not refused, the newest policy is in force, and a
+    request that crashes servers is not sent on after its third crash.
+    """
+    result = await run_soak(
+        SoakPlan(3, nodes=3, seconds=SECONDS, has_incidents=True)
+    )
+    assert not result.violations, (result.faults, result.directory)
+    assert result.statuses.get(200, 0) > 0
