Keep entries of live processes when the platform's copy holds older ones

Cause: a node that had started after the copy did not know the earlier process that the copy named for another node. It took the copy's entry for a newer one and the live process for ended, left out the entry that this process wrote again, and divided the cap by two nodes instead of three. The same would follow from the removal of entries 5 s after the return, if a node lives and is cut off from the platform.

Change: an entry that the copy lacks is kept until it is removed or replaced in the new era. Where the copy names another process than the known one, the known entry is used for 5 s, in which the node writes again, and the copy's after it; neither is taken for ended.

--- a/mustardshunt/sidecar/_member_table.py
+++ b/mustardshunt/sidecar/_member_table.py
@@ -7,10 +7,10 @@
 from mustardshunt.load_balancing import Member
 from mustardshunt.sidecar._ports import MemberUpdate
 
-# Time after the first update of a new era for which entries that the platform's
-# copy lacks are kept. Their nodes hear of the era over links, and write again
-# within the longest pause and time-out of a slow store.
-MEMBER_HOLD_SECONDS: Final = 5.0
+# Time after the first update of a new era for which the known entry of a node
+# is used if the platform's copy has one of another process. The node writes its
+# entry again within the longest pause and time-out of a slow store.
+ENTRY_HOLD_SECONDS: Final = 5.0
 # Most ended processes that are remembered.
 MAX_ENDED_PROCESSES: Final = 1024
 
@@ -20,8 +20,10 @@
 
     When the platform comes back from a copy, entries may be missing that were
     written after it, and entries may be there again that were removed or
-    replaced. Entries that are missing are kept until their nodes have had time
-    to write them again. Entries of processes that have ended are left out.
+    replaced. Missing entries are kept until they are removed or replaced in the
+    new era: their nodes may live and be cut off from the platform, and the
+    shares of the others must not grow meanwhile. Entries of processes that have
+    ended are left out.
 
     Parameters
     ----------
@@ -31,7 +33,10 @@
 
     def __init__(self, own: Member) -> None:
         self._own = own
+        # Entries that the copy lacks, and entries of the copy that are of other
+        # processes than the known ones.
         self._held_by_name: dict[str, Member] = {}
+        self._copied_by_name: dict[str, Member] = {}
         self._hold_ends_at: float | None = None
         self._ended: OrderedDict[str, None] = OrderedDict()
         self.revision = NO_REVISION
@@ -40,7 +45,7 @@
     def stored(self) -> tuple[Member, ...]:
         """Return the entries that the platform holds in this era."""
         return tuple(
-            member
+            self._copied_by_name.get(name, member)
             for name, member in self.by_name.items()
             if name not in self._held_by_name
         )
@@ -59,18 +64,21 @@
             if member.incarnation not in self._ended
         ]
         if self.is_new_era(update):
-            self._hold_missing({member.name for member in changed})
+            self._begin_era({member.name: member for member in changed})
         self.revision = max(self.revision, update.revision)
         by_name = dict(
             self._held_by_name if update.is_snapshot else self.by_name
         )
         for member in changed:
-            self._held_by_name.pop(member.name, None)
+            if self._copied_by_name.get(member.name) == member:
+                by_name[member.name] = self.by_name[member.name]
+                continue
+            self._forget_copy(member.name)
             self._record_replaced(member)
             _remove_former_holders(by_name, member)
             by_name[member.name] = member
         for name in update.removed:
-            self._held_by_name.pop(name, None)
+            self._forget_copy(name)
             removed = by_name.pop(name, None)
             if removed is not None:
                 self._record_end(removed)
@@ -84,7 +92,7 @@
         return NO_REVISION.era < self.revision.era < update.revision.era
 
     def end_hold(self, now: float) -> bool:
-        """Remove the entries that were not written again; must be called often.
+        """Use the copy's entries that were not replaced; must be called often.
 
         Parameters
         ----------
@@ -94,29 +102,34 @@
         Returns
         -------
         bool
-            Whether an entry was removed.
+            Whether an entry has changed.
         """
-        if not self._held_by_name:
+        if not self._copied_by_name:
             return False
         if self._hold_ends_at is None:
-            self._hold_ends_at = now + MEMBER_HOLD_SECONDS
+            self._hold_ends_at = now + ENTRY_HOLD_SECONDS
         if now < self._hold_ends_at:
             return False
-        self.by_name = {
-            name: member
-            for name, member in self.by_name.items()
-            if name not in self._held_by_name
-        }
-        self._held_by_name = {}
+        self.by_name = {**self.by_name, **self._copied_by_name}
+        self._copied_by_name = {}
         return True
 
-    def _hold_missing(self, stored_names: set[str]) -> None:
+    def _begin_era(self, stored_by_name: dict[str, Member]) -> None:
         self._hold_ends_at = None
-        self._held_by_name = {
-            name: member
-            for name, member in self.by_name.items()
-            if name != self._own.name and name not in stored_names
-        }
+        self._held_by_name = {}
+        self._copied_by_name = {}
+        for name, member in self.by_name.items():
+            if name == self._own.name:
+                continue
+            stored = stored_by_name.get(name)
+            if stored is None:
+                self._held_by_name[name] = member
+            elif stored.incarnation != member.incarnation:
+                self._copied_by_name[name] = stored
+
+    def _forget_copy(self, name: str) -> None:
+        self._held_by_name.pop(name, None)
+        self._copied_by_name.pop(name, None)
 
     def _record_replaced(self, member: Member) -> None:
         former = self.by_name.get(member.name)
