Pause between losses of the platform's history that follow each other

A node read the platform 3159 times in 2 s while the store discarded its history at once after each read, as the stand-in did after a return from a copy.

Cause: a lost history leads to a read of the whole table without a pause, and the read counted as a success that ends the backoff.

Change: the first loss is followed by a read at once, as before, and each further one in a row by a pause of the usual backoff. The stand-in goes back to the discarded version of the copy, too.

Evidence: test_store_without_any_history_is_not_read_without_a_pause failed before (3159 calls, below 40 expected) and passes.

--- a/mustardshunt/sidecar/_platform_access.py
+++ b/mustardshunt/sidecar/_platform_access.py
@@ -45,6 +45,34 @@
         self._seconds = min(MAX_PAUSE_SECONDS, self._seconds * 2)
 
 
+class RepeatedLosses:
+    """Pauses between losses of history that follow each other.
+
+    After one loss the whole table is read at once. A platform that keeps no
+    history at all would otherwise be read without a pause.
+
+    Parameters
+    ----------
+    backoff : Backoff
+        Makes the pauses from the second loss on.
+    """
+
+    def __init__(self, backoff: Backoff) -> None:
+        self._backoff = backoff
+        self._is_repeated = False
+
+    def reset(self) -> None:
+        """Record that the platform had the changes since a revision."""
+        self._is_repeated = False
+        self._backoff.reset()
+
+    async def wait(self) -> None:
+        """Wait after a loss, unless it is the first one."""
+        if self._is_repeated:
+            await self._backoff.wait()
+        self._is_repeated = True
+
+
 class FollowGate:
     """Lets this node read the platform's changes while it is a follower."""
 
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -11,6 +11,7 @@
     Backoff,
     FollowGate,
     PlatformAvailability,
+    RepeatedLosses,
 )
 from mustardshunt.sidecar._ports import (
     HistoryLostError,
@@ -68,6 +69,7 @@
         self._source = source
         self._on_update = on_update
         self._backoff = Backoff(random)
+        self._history_losses = RepeatedLosses(Backoff(random))
         self._availability = availability
         self._gate = gate
         self._refresh_requested = asyncio.Event()
@@ -110,6 +112,7 @@
                 self.revision = NO_REVISION
                 self._availability.record_failure(error)
                 self._gate.interrupt_outdated(error)
+                await self._history_losses.wait()
             except PlatformError as error:
                 self.has_failed = True
                 self._is_up_to_date = False
@@ -146,6 +149,7 @@
         # this revision for long; an answer at once tells the era.
         wait = CHANGES_WAIT_SECONDS if self._is_up_to_date else 0.0
         update = await self._source.changes(self.revision, wait)
+        self._history_losses.reset()
         self._is_up_to_date = True
         self._apply(update)
         self._on_report(update)
@@ -202,6 +206,7 @@
         self._random = random
         self._backoff = Backoff(random)
         self._register_backoff = Backoff(random)
+        self._history_losses = RepeatedLosses(Backoff(random))
         self._availability = availability
         self._feed_revision = NO_REVISION
         self._reported_revision = NO_REVISION
@@ -277,6 +282,7 @@
                 self._feed_revision = NO_REVISION
                 self._availability.record_failure(error)
                 self._gate.interrupt_outdated(error)
+                await self._history_losses.wait()
             except PlatformError as error:
                 self._is_up_to_date = False
                 self._availability.record_failure(error)
@@ -312,6 +318,7 @@
         else:
             wait = CHANGES_WAIT_SECONDS if self._is_up_to_date else 0.0
             update = await self._directory.changes(self._feed_revision, wait)
+            self._history_losses.reset()
         self._is_up_to_date = True
         self._backoff.reset()
         self._availability.record_success()
--- a/mustardshunt/standin/store_server.py
+++ b/mustardshunt/standin/store_server.py
@@ -57,11 +57,14 @@
         Rows by table and key.
     changes : tuple
         Recorded changes, in order.
+    compacted_version : int
+        Version up to which the recorded changes have been discarded.
     """
 
     version: int
     row_by_key: dict[tuple[str, str], _Change]
     changes: tuple[_Change, ...]
+    compacted_version: int
 
 
 class StoreServer:
@@ -135,7 +138,10 @@
     def take_copy(self) -> StoreCopy:
         """Return a copy of the rows and of the recorded changes."""
         return StoreCopy(
-            self._version, dict(self._row_by_key), tuple(self._changes)
+            self._version,
+            dict(self._row_by_key),
+            tuple(self._changes),
+            self._compacted_version,
         )
 
     def return_from(self, copy: StoreCopy) -> None:
@@ -144,6 +150,7 @@
         self._version = copy.version
         self._row_by_key = dict(copy.row_by_key)
         self._changes = list(copy.changes)
+        self._compacted_version = copy.compacted_version
 
     def keys(self, table: str) -> list[str]:
         """Return the keys of a table in sorted order."""
--- a/mustardshunt/standin/tests/test_restored_store.py
+++ b/mustardshunt/standin/tests/test_restored_store.py
@@ -161,3 +161,15 @@
     rewrite = [('op', 'config', make_policy(4)), ('op', 'evacuate/y', {})]
     await return_from(deployment, copy, rewrite, 3, seconds=0.2)
     await reaches(nodes, (4, ('y',)))
+
+
+async def test_store_without_any_history_is_not_read_without_a_pause(
+    deployment,
+):
+    # Calls are priced, and the node would be busy with nothing else.
+    await start_nodes(deployment, 'a', 'x')
+    deployment.store._compacted_version = 10**6
+    deployment.store.put('op', 'config', make_policy(2))
+    requests = deployment.store.request_count
+    await asyncio.sleep(2.0)
+    assert deployment.store.request_count - requests < 40
