--- a/mustardshunt/sidecar/_backend_server_reports.py
+++ b/mustardshunt/sidecar/_backend_server_reports.py
@@ -47,6 +47,7 @@
         now = self._clock.now()
         current = self._gate.liveness.current
         before = (self._gate.instance, self._gate.liveness.phase)
+        was_cold = self._gate.is_cold(now)
         is_recorded = self._gate.record_heartbeat(heartbeat, now)
         after = (self._gate.instance, self._gate.liveness.phase)
         if not is_recorded and before == after:
@@ -73,6 +74,15 @@
                 slots=heartbeat.slots,
                 cold_for=heartbeat.cold_for,
             )
+        if self._gate.is_cold(now) != was_cold:
+            self._log.record(
+                'cold-start',
+                now,
+                instance=heartbeat.instance,
+                is_cold=not was_cold,
+                cold_for=heartbeat.cold_for,
+                sequence=heartbeat.sequence,
+            )
         self._on_change(now)
 
     def deregister(self, instance: str) -> None:
