--- a/mustardshunt/standin/soak/_invariants.py
+++ b/mustardshunt/standin/soak/_invariants.py
@@ -34,6 +34,9 @@
 # A request that has crashed three backend servers may reach at most three more,
 # later than this time after the third crash.
 STABLE_WINDOW_SECONDS: Final = 3.0
+# A confirmed policy must be in force everywhere within this time, at nodes that
+# have been undisturbed for the stable window.
+CONFIG_APPLY_SECONDS: Final = 2.0
 MAX_LATE_CRASHES: Final = 3
 _COUNTED_CRASHES: Final = 3
 _QUARANTINED: Final = b'quarantined'
--- a/mustardshunt/standin/store_server.py
+++ b/mustardshunt/standin/store_server.py
@@ -211,17 +211,16 @@
         if not self._compacted_version <= after <= self._version:
             return web.Response(status=410, headers=self._headers())
         table = request.query['table']
+        era = self.era
         wait_ms = min(_MAX_WAIT_MS, int(request.query['wait_ms']))
         try:
             async with asyncio.timeout(wait_ms / _MS_PER_SECOND):
                 while not self._changes_since(table, after):
                     await self._wait_for_change()
-                    if self.is_down:
-                        break
+                    if self.is_down or self.era != era:
+                        return self._refuse()
         except TimeoutError:
             return self._respond({'rows': []})
-        if self.is_down:
-            return self._refuse()
         return self._respond({'rows': self._changes_since(table, after)})
 
     def _changes_since(self, table: str, after: int) -> list[dict[str, Any]]:
