Count the runs of a crashed server of the soak under its new instance

A crashing request had ended it: its successor, which names no limit, was still counted under the instance of before, whose limit had no end.

--- a/mustardshunt/standin/soak/_fleet.py
+++ b/mustardshunt/standin/soak/_fleet.py
@@ -196,7 +196,7 @@
         server.behaviour.service_time = 0.01
         server.behaviour.crash_marker = CRASH_MARKER
         server.behaviour.restart_time = _SERVER_RESTART_SECONDS
-        server.on_request = functools.partial(self._record_execution, instance)
+        server.on_request = functools.partial(self._record_execution, server)
         server.on_crash = self._record_crash
         await server.start()
         self._server = server
@@ -284,10 +284,12 @@
             proxy.set_fault(ConnectionFault.NONE)
 
     def _record_execution(
-        self, instance: str, request: ReceivedRequest
+        self, server: SidecarBackendServer, request: ReceivedRequest
     ) -> None:
+        # A server that a request has crashed goes on under another instance.
         now = asyncio.get_running_loop().time()
-        self._history.executions.append(Execution(now, instance, request))
+        execution = Execution(now, server.instance, request)
+        self._history.executions.append(execution)
 
     def _record_crash(self, path: str) -> None:
         now = asyncio.get_running_loop().time()
