Pass on a lifted quarantine at nodes that did not take the verdict

An operator who lifted a wrong verdict would have freed some nodes only: a node that has seen the request end well does not take the verdict, and took the order to lift it for one that it knew. Just then the order matters, and followers have to pass it on.

Change: a node remembers which quarantines were lifted, and passes an order on once. The method of the crash detector that nothing used is gone; its test is one of the monitor now, which leaves out processes that leave.

Evidence: test_lifting_reaches_nodes_beyond_one_that_did_not_take_the_verdict fails without the change.

--- a/mustardshunt/quarantine/_crash_detector.py
+++ b/mustardshunt/quarantine/_crash_detector.py
@@ -122,10 +122,6 @@
         """Record that nothing listens at the address of the server."""
         self._is_refusing = True
 
-    def forget(self, run: Hashable) -> None:
-        """Forget the calls of a process that ends as announced."""
-        self._lost = [call for call in self._lost if call.run != run]
-
     def needs_probe(self, now: float) -> bool:
         """Tell whether to check that the backend server listens.
 
--- a/mustardshunt/quarantine/_quarantine.py
+++ b/mustardshunt/quarantine/_quarantine.py
@@ -35,6 +35,9 @@
 # the report only once.
 _MAX_SEEN_REPORTS: Final = 256
 
+# Most lifted fingerprints whose identity is stored, so that a node passes on
+# the order of an operator only once.
+_MAX_LIFTED: Final = 256
 # Most crashes that are named as the evidence of a verdict.
 _MAX_NAMED_CRASHES: Final = 5
 
@@ -100,6 +103,9 @@
         self._non_suspects: OrderedDict[Fingerprint, _Entry] = OrderedDict()
         self._suspects: OrderedDict[Fingerprint, _Entry] = OrderedDict()
         self._quarantined: set[Fingerprint] = set()
+        # Fingerprints that operators have lifted, with the time until which
+        # other nodes may still spread a verdict.
+        self._lifted: OrderedDict[Fingerprint, float] = OrderedDict()
         self._seen_reports: OrderedDict[tuple[Incarnation, int], None] = (
             OrderedDict()
         )
@@ -289,8 +295,12 @@
     def _handle_lift(
         self, fingerprint: Fingerprint, now: float
     ) -> list[Action]:
-        if self._level(fingerprint, now) == MIN_SUSPICION_LEVEL:
+        is_known = self._lifted.get(fingerprint, now) > now
+        if is_known and fingerprint not in self._quarantined:
             return []
+        self._lifted[fingerprint] = now + self._quarantine_duration
+        if len(self._lifted) > _MAX_LIFTED:
+            self._lifted.popitem(last=False)
         # Verdicts that other nodes still spread must not start the quarantine
         # again, so this level is stored for as long as they may last.
         self._set_level(
--- a/mustardshunt/quarantine/tests/test_crash_detector.py
+++ b/mustardshunt/quarantine/tests/test_crash_detector.py
@@ -91,14 +91,6 @@
     assert crash(detector, 6.0) == ['a']
 
 
-def test_end_of_a_leaving_server_is_no_crash(detector):
-    # A drain that ends with calls in flight says nothing about these calls.
-    lose(detector, 'a')
-    detector.forget(RUN)
-    detector.record_run(NEXT_RUN)
-    assert not crash(detector, 2.0)
-
-
 def test_losses_long_before_a_restart_do_not_count(detector):
     # Otherwise each planned restart would raise suspicion against requests
     # whose answers were lost long before it.
--- a/mustardshunt/sidecar/tests/test_crash_relay.py
+++ b/mustardshunt/sidecar/tests/test_crash_relay.py
@@ -13,13 +13,18 @@
 from mustardshunt.observability import EventLog
 from mustardshunt.quarantine import (
     BackendServerCrashed,
+    CallFinished,
+    CollectedEvidence,
     CrashReport,
     Fingerprint,
     SuspicionScore,
     Verdict,
+    make_request_quarantine,
 )
 from mustardshunt.relay import (
+    BackendFailure,
     CrashReportFrame,
+    FailureKind,
     FrameError,
     VerdictFrame,
     decode_frame,
@@ -34,7 +39,8 @@
 from mustardshunt.sidecar._crash_monitor import CrashMonitor
 from mustardshunt.sidecar._crash_relay import CrashRelay
 from mustardshunt.sidecar._metrics import SidecarMetrics
-from mustardshunt.upstream import LivenessTracker
+from mustardshunt.sidecar.tests.test_peer_session import make_call
+from mustardshunt.upstream import Heartbeat, LivenessTracker, ServerPhase
 
 POISON = Fingerprint('poison')
 STABLE_WINDOW_SECONDS = 3.0
@@ -274,6 +280,46 @@
     assert not any(node.refuses for node in fleet.node_by_name.values())
 
 
+def test_lifting_reaches_nodes_beyond_one_that_did_not_take_the_verdict():
+    # Followers that have seen a common read end well did not quarantine it, and
+    # must still pass the order on.
+    fleet = Fleet(16)
+    fleet.run(0.2)
+    crash_at(fleet, 'n3', 'n4', 'n6')
+    fleet.run(0.5)
+    for data_centre in DATA_CENTRES:
+        name = fleet.names(data_centre)[0]
+        monitor = fleet.node_by_name[name].monitor
+        monitor._quarantine = make_request_quarantine(
+            Incarnation(f'{name}-1'), 'stock', rule=CollectedEvidence()
+        )
+        for _ in range(20):
+            monitor._quarantine.handle(CallFinished(POISON), fleet.time)
+    fleet.node_by_name['n7'].monitor.lift(POISON)
+    fleet.run(1.0)
+    assert not any(node.refuses for node in fleet.node_by_name.values())
+
+
+@pytest.mark.parametrize('is_leaving', [False, True])
+def test_only_an_end_that_was_not_announced_is_a_crash(is_leaving):
+    # A drain that ends with calls in flight says nothing about these calls.
+    fleet = Fleet(3)
+    node = fleet.node_by_name['n0']
+    liveness = node.monitor._liveness
+    heartbeat = Heartbeat('i-1', 1, 1, ServerPhase.READY, 8, 0.0)
+    liveness.record_heartbeat(heartbeat, 0.0)
+    call = make_call(1)
+    lost = BackendFailure(FailureKind.LOST, has_begun=True)
+    node.monitor._check_crash(0.0)
+    node.monitor.record_failure(call, heartbeat.run, lost)
+    if is_leaving:
+        liveness.mark_leaving(heartbeat.run)
+    successor = Heartbeat('i-2', 2, 1, ServerPhase.READY, 8, 0.0)
+    liveness.record_heartbeat(successor, 0.5)
+    node.monitor._check_crash(1.0)
+    assert node.monitor._quarantine._crash_count == int(not is_leaving)
+
+
 REPORT = CrashReport(
     Incarnation('n-1'), 3, 'stock', (SuspicionScore(POISON, 8),)
 )
