--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -125,6 +125,9 @@
             table, key, base64.b64encode(json.dumps(value).encode()).decode()
         )
 
+    def remove(self, table, key):
+        self._apply(table, key, None)
+
     def _apply(self, table, key, value):
         self._version += 1
         row = {'table': table, 'part': '', 'key': key, 'ver': self._version}
