--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,8 +10,8 @@
 
 import stand_ins as s  # noqa: E402
 
-# One upstream's part of catalogue-browse on the site: 372 a second over four.
-RATE_PER_S = 93
+# Two upstreams' part of catalogue-browse on the site: 372 a second over four.
+RATE_PER_S = 186
 DEADLINE_MS = 5000
 # Largest dose of garble (unframed) on the site.
 SPOILED_SHARE = 0.05
@@ -103,17 +103,21 @@
             'shop.example', '/order/', 'orders', 'non_idempotent', '6000ms',
             '2000ms'),
     }, services))
-    names = (('m-browse', 'browse'), ('m-orders', 'orders'), ('m-front', 'front'))
+    names = (
+        ('m-browse', 'browse'), ('m-orders', 'orders'), ('m-front', 'front'),
+        ('m-browse-2', 'browse'),
+    )
     machines += [
         s.Machine(name, 'zone-a', service, store, scratch, record)
         for name, service in names
     ]
-    faulty, sound, front = machines
+    faulty, sound, front, other = machines
     endless = EndlessAnswers(record)
     upstreams = [
         s.Upstream(faulty, record, work=0.06, slots=213),
         s.Upstream(sound, record, work=0.5, slots=213),
         s.Upstream(front, record),
+        s.Upstream(other, record, work=0.06, slots=213),
     ]
     upstreams[0].special = endless
     for machine, upstream in zip(machines, upstreams, strict=True):
