--- a/mustardshunt/platform/__main__.py
+++ b/mustardshunt/platform/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Final
 
+from mustardshunt.memory import make_memory_account
 from mustardshunt.platform import (
     PlatformHeaderCodec,
     PlatformHeartbeatCodec,
@@ -41,7 +42,8 @@
         File that the settings were read from. The node reads the file again
         when the file changes.
     """
-    store = StoreClient(settings.platform.address)
+    memory = make_memory_account(settings.node.memory_mb)
+    store = StoreClient(settings.platform.address, memory)
     adapter = PlatformAdapter(
         PlatformHeaderCodec(),
         PlatformHeartbeatCodec(settings.node.service),
@@ -49,7 +51,7 @@
         StoreMemberDirectory(store),
     )
     try:
-        await run_sidecar(settings, adapter, file)
+        await run_sidecar(settings, adapter, memory, file)
     finally:
         store.close()
 
--- a/mustardshunt/platform/_store.py
+++ b/mustardshunt/platform/_store.py
@@ -9,6 +9,7 @@
 from urllib.parse import urlencode
 
 from mustardshunt.base import Revision, VmAddress
+from mustardshunt.memory import HeldPart, MemoryAccount
 from mustardshunt.platform._names import STORE_ERA_HEADER
 from mustardshunt.platform._values import (
     MalformedError,
@@ -130,13 +131,19 @@
     ----------
     address : VmAddress
         Address at which the store listens.
+    memory : MemoryAccount
+        Account to which arriving answers are charged.
     """
 
-    def __init__(self, address: VmAddress) -> None:
+    def __init__(self, address: VmAddress, memory: MemoryAccount) -> None:
         self._address = address
         self._era = 0
         self._pool = BackendConnectionPool(
-            address, MAX_ANSWER_BYTES, _ignore_refusal
+            address,
+            MAX_ANSWER_BYTES,
+            _ignore_refusal,
+            memory,
+            HeldPart.PLATFORM,
         )
 
     def close(self) -> None:
--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -25,6 +25,7 @@
     TokenRequestFrame,
 )
 from mustardshunt.relay._frames import (
+    DroppedFrame,
     FrameError,
     FrameSplitter,
     decode_frame,
@@ -69,6 +70,7 @@
     'CallStatusRequest',
     'Cancel',
     'CrashReportFrame',
+    'DroppedFrame',
     'FailureKind',
     'Frame',
     'FrameError',
--- a/mustardshunt/relay/_backend_pool.py
+++ b/mustardshunt/relay/_backend_pool.py
@@ -8,6 +8,8 @@
 from typing import Final, Protocol, TypeAlias, cast
 
 from mustardshunt.base import VmAddress
+from mustardshunt.memory import HeldPart, MemoryAccount
+from mustardshunt.relay._answer_memory import AnswerMemory
 from mustardshunt.relay._http_parser import AnswerHead, AnswerParser
 from mustardshunt.relay._keepalive import enable_keepalive
 from mustardshunt.relay._messages import RawHeaders
@@ -32,6 +34,7 @@
     LOST = 'lost'
     INVALID = 'invalid'
     CANCELLED = 'cancelled'
+    NO_MEMORY = 'no-memory'
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +112,10 @@
         Largest answer body that is accepted.
     on_refused : callable
         Called without arguments when the address refuses a connection.
+    memory : MemoryAccount
+        Account to which arriving answers are charged.
+    part : HeldPart, default=HeldPart.ANSWERS
+        Part of the account that the answers belong to.
     """
 
     def __init__(
@@ -116,10 +123,14 @@
         address: VmAddress,
         max_body_bytes: int,
         on_refused: Callable[[], None],
+        memory: MemoryAccount,
+        part: HeldPart = HeldPart.ANSWERS,
     ) -> None:
+        self.part = part
         self.address = address
         self.max_body_bytes = max_body_bytes
         self.on_refused = on_refused
+        self.memory = memory
         self.opened = 0
         self.idle: list[_Connection] = []
         self._connections: set[_Connection] = set()
@@ -176,6 +187,7 @@
         '_job',
         '_keep_alive_seconds',
         '_loop',
+        '_memory',
         '_parser',
         '_pool',
         '_should_close',
@@ -193,6 +205,9 @@
     ) -> None:
         self._loop = loop
         self._parser = AnswerParser(self, pool.max_body_bytes, job.expects_body)
+        self._memory = AnswerMemory(
+            pool.memory, pool.part, self._parser, self._give_up
+        )
         self._expects_body = job.expects_body
         self._pool = pool
         self._job: BackendJob | None = job
@@ -267,6 +282,10 @@
             self._set_outcome(
                 BackendFailure(FailureKind.INVALID, has_begun=True)
             )
+        if self._answer.done() or self._parser.is_idle:
+            return
+        if self._transport is not None:
+            self._memory.charge(self._transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Finish an answer that ends with the connection, or fail the call."""
@@ -298,7 +317,13 @@
         self._should_close = should_close
         self._set_outcome(BackendAnswer(head.status, head.raw_headers, body))
 
+    def _give_up(self) -> None:
+        """Fail the call, since its answer cannot be kept."""
+        self._set_outcome(BackendFailure(FailureKind.NO_MEMORY, has_begun=True))
+        self.abort()
+
     def _set_outcome(self, outcome: BackendOutcome) -> None:
+        self._memory.release()
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(outcome)
 
@@ -345,21 +370,29 @@
         if self._job is not None:
             self._send(self._job)
         while self._answer is not None:
-            outcome = await self._answer
-            job = self._job
-            self._job = None
-            self._answer = None
-            is_reusable = self._can_be_reused(outcome)
-            if is_reusable:
-                self.idle_until = self._loop.time() + self._keep_alive_seconds
-                self._pool.idle.append(self)
-            if job is not None:
-                job.finish(outcome)
-            if not is_reusable:
+            await self._answer
+            if not self._finish_job(self._answer.result()):
                 return
             if self._answer is None:
                 await self._wait_for_job()
 
+    def _finish_job(self, outcome: BackendOutcome) -> bool:
+        """Report the outcome of the call; tell if the connection is reused.
+
+        The outcome is referenced only here, so that an idle connection does
+        not keep the body of its last answer.
+        """
+        job = self._job
+        self._job = None
+        self._answer = None
+        is_reusable = self._can_be_reused(outcome)
+        if is_reusable:
+            self.idle_until = self._loop.time() + self._keep_alive_seconds
+            self._pool.idle.append(self)
+        if job is not None:
+            job.finish(outcome)
+        return is_reusable
+
     async def _wait_for_job(self) -> None:
         self._wake = self._loop.create_future()
         try:
--- a/mustardshunt/relay/_caller_connection.py
+++ b/mustardshunt/relay/_caller_connection.py
@@ -3,11 +3,14 @@
 import asyncio
 import http
 from collections import deque
+from dataclasses import replace
 from typing import Final, Protocol, cast
 
 from loguru import logger
 
+from mustardshunt.memory import MemoryAccount
 from mustardshunt.policy import RequestLimits
+from mustardshunt.relay._caller_memory import CallerMemory
 from mustardshunt.relay._http_parser import ParsedRequest, RequestParser
 from mustardshunt.relay._messages import (
     STATUS_WITHOUT_BODY,
@@ -27,6 +30,9 @@
 MAX_HELD_RESPONSE_BYTES: Final = 1024 * 1024
 # Time for which a refused caller's further bytes are read and discarded.
 LINGER_SECONDS: Final = 1.0
+# Response headers of a body for which there is no room. Room is returned as
+# soon as other bodies have been passed on.
+_NO_ROOM_HEAD: Final = b'Retry-After: 1\r\n'
 _STATUS_LINE: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
     for status in http.HTTPStatus
@@ -38,6 +44,7 @@
     """Server to which the connections of callers belong."""
 
     handler: RequestHandler
+    memory: MemoryAccount
     is_closing: bool
 
     def limits(self) -> RequestLimits:
@@ -104,6 +111,7 @@
         '_drain_waiter',
         '_is_reading_paused',
         '_loop',
+        '_memory',
         '_owner',
         '_parser',
         '_received_at',
@@ -111,7 +119,6 @@
         '_task',
         '_timer_start',
         '_transport',
-        '_unwritten',
         '_wake',
         'is_idle',
     )
@@ -124,6 +131,7 @@
         self._owner = owner
         self._loop = loop
         self._parser = RequestParser(owner.limits)
+        self._memory = CallerMemory(owner.memory, self._parser, self._wake_task)
         self._transport: asyncio.Transport | None = None
         self._started: deque[_StartedRequest] = deque()
         self._current: ParsedRequest | None = None
@@ -134,18 +142,19 @@
         self._is_reading_paused = False
         self._timer_start = loop.time()
         self._received_at = self._timer_start
-        self._unwritten = (0, self._timer_start)
         self.is_idle = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
         self._transport = cast(asyncio.Transport, transport)
+        self._memory.open(self._transport)
         self._owner.add(self)
         self._task = self._loop.create_task(self._run(), name='caller')
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests of the connection: their caller has left."""
         self._transport = None
+        self._memory.close()
         self._owner.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -172,6 +181,7 @@
             self._timer_start = now
         parser = self._parser
         parser.feed(data, now)
+        self._memory.charge_request()
         if parser.requests:
             self._start_ahead()
             self._limit_reading()
@@ -189,6 +199,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _wake_task(self) -> None:
+        """Wake the task if it waits for a request."""
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
     def check_timeouts(self, now: float, limits: RequestLimits) -> None:
         """Close an idle connection, or one whose caller makes no progress.
 
@@ -199,12 +214,15 @@
         limits : RequestLimits
             Limits that apply now.
         """
+        self._memory.charge_unread()
         if self.is_idle:
             if now - self._timer_start > limits.idle_timeout:
                 self.close_if_idle()
             return
-        if self._drain_waiter is not None:
-            self._check_unwritten(now, limits)
+        if self._drain_waiter is not None and self._memory.is_stalled(
+            now, limits.idle_timeout
+        ):
+            self.abort()
         if self._wake is None or not self._parser.is_receiving:
             return
         is_late = now - self._received_at > limits.idle_timeout
@@ -214,19 +232,6 @@
             self._parser.error_status = http.HTTPStatus.REQUEST_TIMEOUT
             self._wake_task()
 
-    def _wake_task(self) -> None:
-        if self._wake is not None and not self._wake.done():
-            self._wake.set_result(None)
-
-    def _check_unwritten(self, now: float, limits: RequestLimits) -> None:
-        if self._transport is None:
-            return
-        size = self._transport.get_write_buffer_size()
-        if size != self._unwritten[0]:
-            self._unwritten = (size, now)
-        elif now - self._unwritten[1] > limits.idle_timeout:
-            self.abort()
-
     async def _run(self) -> None:
         try:
             await self._serve_requests()
@@ -248,7 +253,10 @@
         If the connection were closed at once, bytes on their way would reset
         it, and the caller might lose the error.
         """
-        self._write(HttpResponse(status, b'', b''), is_last=True)
+        head = b''
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            head = _NO_ROOM_HEAD
+        self._write(HttpResponse(status, head, b''), is_last=True)
         if self._transport is not None:
             self._transport.write_eof()
             self.is_idle = True
@@ -257,12 +265,7 @@
 
     async def _serve_requests(self) -> None:
         while self._transport is not None:
-            parsed, response = await self._next_response()
-            # What was started is answered before the connection is closed.
-            is_stopping = self._owner.is_closing and not self._started
-            is_last = parsed.should_close or is_stopping
-            self._write(response, is_last, parsed.request.method == 'HEAD')
-            if is_last:
+            if await self._answer_next():
                 return
             if self._drain_waiter is not None:
                 await self._drain_waiter
@@ -273,10 +276,30 @@
             self._timer_start = self._loop.time()
             self.is_idle = not self._parser.is_receiving
 
+    async def _answer_next(self) -> bool:
+        """Write the next response; tell whether it is the last one.
+
+        The bodies are referenced only here, so that an idle connection, or one
+        whose caller reads slowly, keeps none of them.
+        """
+        parsed, response = await self._next_response()
+        # What was started is answered before the connection is closed.
+        is_stopping = self._owner.is_closing and not self._started
+        is_last = parsed.should_close or is_stopping
+        self._write(response, is_last, parsed.request.method == 'HEAD')
+        self._memory.release_body(parsed.request)
+        if parsed.request.body and self._current is parsed:
+            self._current = replace(
+                parsed, request=replace(parsed.request, body=b'')
+            )
+        return is_last
+
     async def _next_response(self) -> tuple[ParsedRequest, HttpResponse]:
         if self._started:
             started = self._started.popleft()
-            return started.parsed, await started.task
+            response = await started.task
+            self._memory.remove_ready(response)
+            return started.parsed, response
         self._current = None
         self._can_overlap = None
         parsed = await self._next_request()
@@ -315,6 +338,7 @@
             task = self._loop.create_task(
                 self._handle(parsed.request), name='pipelined request'
             )
+            task.add_done_callback(self._memory.add_ready)
             self._started.append(_StartedRequest(parsed, task))
 
     def _may_overlap(self) -> bool:
@@ -354,6 +378,7 @@
         if self._transport is None:
             return
         self._transport.write(_render(response, is_last, is_head))
+        self._memory.charge_unread()
 
 
 def _render(response: HttpResponse, is_last: bool, is_head: bool) -> bytes:
--- /dev/null
+++ b/mustardshunt/relay/_caller_memory.py
@@ -0,0 +1,166 @@
+"""Memory of the requests and responses on one connection of a caller."""
+
+import asyncio
+import http
+from collections.abc import Callable
+
+from mustardshunt.memory import SMALL_BYTES, HeldPart, MemoryAccount
+from mustardshunt.relay._http_parser import RequestParser
+from mustardshunt.relay._messages import HttpRequest, HttpResponse
+
+
+class CallerMemory:
+    """Charges what one connection keeps, and refuses bodies without room.
+
+    Parameters
+    ----------
+    memory : MemoryAccount
+        Account to which the bytes are charged.
+    parser : RequestParser
+        Parser that keeps the request that arrives.
+    on_refused : callable
+        Called without arguments when the request that arrives is refused
+        because of another one.
+    """
+
+    __slots__ = (
+        '_arriving',
+        '_bodies',
+        '_memory',
+        '_on_refused',
+        '_parser',
+        '_progress',
+        '_ready_bytes',
+        '_transport',
+        '_unread',
+    )
+
+    def __init__(
+        self,
+        memory: MemoryAccount,
+        parser: RequestParser,
+        on_refused: Callable[[], None],
+    ) -> None:
+        self._memory = memory
+        self._parser = parser
+        self._on_refused = on_refused
+        self._arriving = memory.open(HeldPart.REQUESTS, self._refuse_arriving)
+        self._bodies = memory.open(HeldPart.REQUESTS)
+        self._unread = memory.open(HeldPart.RESPONSES, self._give_up_unread)
+        self._ready_bytes = 0
+        # Unsent bytes when they last changed, and the time of that change.
+        self._progress = (0, 0.0)
+        self._transport: asyncio.Transport | None = None
+
+    def open(self, transport: asyncio.Transport) -> None:
+        """Set the transport of the connection, which has just opened."""
+        self._transport = transport
+
+    def charge_request(self) -> None:
+        """Charge the request that arrives, and bodies not answered yet.
+
+        A body of stated length gets room for all of it, or is refused before
+        it is read.
+        """
+        parser = self._parser
+        if not parser.is_receiving and not parser.queued_bytes:
+            self._arriving.clear()
+            return
+        if parser.queued_bytes > self._bodies.held:
+            # The request that arrived is complete.
+            self._arriving.clear()
+            self._reserve_bodies()
+        if not parser.is_receiving or parser.error_status:
+            self._arriving.clear()
+        else:
+            self._charge_arriving()
+
+    def release_body(self, request: HttpRequest) -> None:
+        """Return the memory of a request that has been answered."""
+        if request.body and self._transport is not None:
+            self._parser.queued_bytes -= len(request.body)
+            self._bodies.resize(self._parser.queued_bytes)
+
+    def add_ready(self, handling: asyncio.Task[HttpResponse]) -> None:
+        """Charge a response that waits for an earlier one.
+
+        Parameters
+        ----------
+        handling : asyncio.Task
+            Ended task that handled the request.
+        """
+        if not handling.cancelled():
+            self._ready_bytes += len(handling.result().body)
+            self.charge_unread()
+
+    def remove_ready(self, response: HttpResponse) -> None:
+        """Note that a response is written that has waited."""
+        self._ready_bytes -= len(response.body)
+
+    def charge_unread(self) -> None:
+        """Charge the responses that the caller has not read yet."""
+        if self._transport is None:
+            return
+        unread_bytes = self._unread_bytes(self._transport)
+        if unread_bytes or self._unread.held:
+            self._unread.resize(unread_bytes)
+
+    def is_stalled(self, now: float, timeout: float) -> bool:
+        """Tell whether the caller has read nothing for too long.
+
+        Must be called regularly while the caller reads slowly.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        timeout : float
+            Longest time without progress, in seconds.
+        """
+        if self._transport is None:
+            return False
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self._progress[0]:
+            self._progress = (unsent_bytes, now)
+        return now - self._progress[1] > timeout
+
+    def close(self) -> None:
+        """Return everything: the connection is closed."""
+        self._transport = None
+        self._arriving.clear()
+        self._bodies.clear()
+        self._unread.clear()
+
+    def _charge_arriving(self) -> None:
+        arriving = self._arriving
+        stated_bytes = self._parser.stated_bytes
+        if stated_bytes <= SMALL_BYTES:
+            arriving.resize(self._parser.arriving_bytes)
+            return
+        if arriving.is_stated or arriving.reserve(stated_bytes):
+            return
+        self._memory.record_refusal(HeldPart.REQUESTS, stated_bytes)
+        if stated_bytes > self._memory.largest_body:
+            self._parser.refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        else:
+            self._parser.refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _reserve_bodies(self) -> None:
+        parser = self._parser
+        while not self._bodies.reserve(parser.queued_bytes):
+            self._memory.record_refusal(HeldPart.REQUESTS, parser.queued_bytes)
+            if not parser.refuse_last(http.HTTPStatus.SERVICE_UNAVAILABLE):
+                return
+
+    def _refuse_arriving(self) -> None:
+        self._parser.refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        self._on_refused()
+
+    def _give_up_unread(self) -> None:
+        # The caller may have read everything since the last charge.
+        transport = self._transport
+        if transport is not None and self._unread_bytes(transport):
+            transport.abort()
+
+    def _unread_bytes(self, transport: asyncio.Transport) -> int:
+        return transport.get_write_buffer_size() + self._ready_bytes
--- a/mustardshunt/relay/_frames.py
+++ b/mustardshunt/relay/_frames.py
@@ -2,13 +2,14 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import dataclass, fields
 from operator import attrgetter
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import cbor2
 
 from mustardshunt.base import ErrorCode, MustardshuntError, Revision
+from mustardshunt.memory import SMALL_BYTES
 from mustardshunt.relay._frame_types import (
     Answered,
     AnswerLost,
@@ -42,6 +43,11 @@
 MAX_FRAME_BYTES: Final = 80 * 1024 * 1024
 # Big-endian length prefix of a frame, in bytes.
 _LENGTH: Final = struct.Struct('>I')
+# Bytes at the start of a frame that hold the type of the frame and the number
+# of its call: the head of the array, a type below 24 and an integer.
+_START_BYTES: Final = 11
+_ARRAY_HEAD_MASK: Final = 0xE0
+_ARRAY_HEAD: Final = 0x80
 
 # The index of a frame type in this tuple is the type's number on the wire.
 _FRAME_TYPES: Final[tuple[type[Any], ...]] = (
@@ -115,9 +121,8 @@
 
     Examples
     --------
-    >>> splitter = FrameSplitter()
-    >>> splitter.feed(encode_frame(Cancel(7)))
-    [Cancel(number=7)]
+    >>> decode_frame(encode_frame(Cancel(7))[4:])
+    Cancel(number=7)
     """
     frame_type = type(frame)
     content = _GETTER_BY_TYPE[frame_type](frame)
@@ -156,13 +161,55 @@
     return frame
 
 
+@dataclass(frozen=True, slots=True)
+class DroppedFrame:
+    """A frame that was not kept, since the memory had no room for it.
+
+    Parameters
+    ----------
+    is_call : bool
+        Whether it was a ``Call``; otherwise it was an ``Answered``.
+    number : int
+        Number of the call.
+    """
+
+    is_call: bool
+    number: int
+
+
+class FrameRoom(Protocol):
+    """Memory for the frame that arrives on one connection."""
+
+    def reserve(self, size: int) -> bool:
+        """Reserve room for a frame of ``size`` bytes; False without room."""
+        ...
+
+    def clear(self) -> None:
+        """Return the room: the frame has been read."""
+        ...
+
+
 class FrameSplitter:
-    """Splits a byte stream, received in pieces of any size, into frames."""
+    """Splits a byte stream, received in pieces of any size, into frames.
 
-    def __init__(self) -> None:
-        self._buffer = b''
+    A large call or answer for which there is no room is skipped as it arrives,
+    so that the connection can be used further.
 
-    def feed(self, received: bytes) -> list[Frame]:
+    Parameters
+    ----------
+    room : FrameRoom
+        Memory for a large frame while it arrives.
+    """
+
+    def __init__(self, room: FrameRoom) -> None:
+        self._room = room
+        self._buffer = bytearray()
+        # Length at which the frame in the buffer is complete.
+        self._needed = 0
+        self._skipped_bytes = 0
+        self._dropped: DroppedFrame | None = None
+
+    def feed(self, received: bytes) -> list[Frame | DroppedFrame]:
         """Add received bytes, and return the frames that are now complete.
 
         The bytes of an incomplete frame are kept until the next call.
@@ -172,9 +219,25 @@
         FrameError
             A frame is longer than ``MAX_FRAME_BYTES`` or cannot be decoded.
         """
-        buffer = self._buffer + received if self._buffer else received
-        frames = []
+        frames: list[Frame | DroppedFrame] = []
+        if self._dropped is not None:
+            received = self._skip(received, frames)
+        if not self._buffer:
+            self._split(received, frames)
+            return frames
+        self._buffer += received
+        if len(self._buffer) < self._needed:
+            return frames
+        buffered = bytes(self._buffer)
+        self._buffer = bytearray()
+        self._room.clear()
+        self._split(buffered, frames)
+        return frames
+
+    def _split(self, buffer: bytes, frames: list[Frame | DroppedFrame]) -> None:
+        """Append the frames in the buffer, and keep the bytes behind them."""
         start = 0
+        end = 0
         while len(buffer) - start >= _LENGTH.size:
             length = _LENGTH.unpack_from(buffer, start)[0]
             if length > MAX_FRAME_BYTES:
@@ -187,8 +250,53 @@
                 break
             frames.append(decode_frame(buffer[start + _LENGTH.size : end]))
             start = end
-        self._buffer = buffer[start:]
-        return frames
+        rest = buffer[start:] if start else buffer
+        if rest:
+            self._keep(rest, max(end - start, _LENGTH.size))
+
+    def _keep(self, rest: bytes, needed: int) -> None:
+        """Keep the start of a frame, or begin to skip the frame."""
+        self._needed = needed
+        if needed > SMALL_BYTES:
+            if len(rest) < _LENGTH.size + _START_BYTES:
+                # The next bytes tell what the frame is.
+                self._needed = _LENGTH.size + _START_BYTES
+            elif not self._room.reserve(needed):
+                self._dropped = _read_start(rest[_LENGTH.size :])
+        if self._dropped is None:
+            self._buffer += rest
+        else:
+            self._skipped_bytes = needed - len(rest)
+
+    def _skip(
+        self, received: bytes, frames: list[Frame | DroppedFrame]
+    ) -> bytes:
+        """Skip bytes of a dropped frame, and return the bytes behind it."""
+        behind = received[self._skipped_bytes :]
+        self._skipped_bytes -= len(received) - len(behind)
+        if not self._skipped_bytes and self._dropped is not None:
+            frames.append(self._dropped)
+            self._dropped = None
+        return behind
+
+
+def _read_start(start: bytes) -> DroppedFrame | None:
+    """Return what is dropped with a frame, None if the frame must be kept.
+
+    Only calls and answers are dropped. Their first field is the number of the
+    call.
+    """
+    if start[0] & _ARRAY_HEAD_MASK != _ARRAY_HEAD:
+        return None
+    if start[1] not in {_NUMBER_BY_TYPE[Call], _NUMBER_BY_TYPE[Answered]}:
+        return None
+    try:
+        number = cbor2.loads(start[2:_START_BYTES])
+    except (cbor2.CBORDecodeError, ValueError):
+        return None
+    if not isinstance(number, int):
+        return None
+    return DroppedFrame(start[1] == _NUMBER_BY_TYPE[Call], number)
 
 
 def _check_fields(number: int, content: list[Any]) -> list[Any]:
--- a/mustardshunt/relay/_http_parser.py
+++ b/mustardshunt/relay/_http_parser.py
@@ -12,7 +12,11 @@
 import httptools
 
 from mustardshunt.policy import RequestLimits
-from mustardshunt.relay._messages import HttpRequest, RawHeaders
+from mustardshunt.relay._messages import (
+    STATUS_WITHOUT_BODY,
+    HttpRequest,
+    RawHeaders,
+)
 
 # Largest head of an answer, informational answers before it included. A
 # backend server that sends a longer head does not answer the request.
@@ -21,6 +25,9 @@
 # equal length. Chunk extensions and empty lines count as framing, so an answer
 # of endless framing ends.
 MIN_FRAMING_BYTES: Final = 65536
+# Memory of each piece of a body besides its bytes. A body in tiny chunks takes
+# many times its length.
+PIECE_OVERHEAD_BYTES: Final = 64
 # Largest number of header names whose lower-case text is cached.
 NAME_CACHE_SIZE: Final = 512
 _FIRST_FINAL_STATUS: Final = 200
@@ -72,6 +79,14 @@
         self.body_bytes = 0
         self.now = now
 
+    def held_bytes(self) -> int:
+        """Return the memory that the parts take."""
+        return (
+            max(self.fed_bytes, self.head_bytes)
+            + self.body_bytes
+            + PIECE_OVERHEAD_BYTES * len(self.body)
+        )
+
 
 class LimitSource(Protocol):
     """Returns the limits on requests that apply now."""
@@ -109,8 +124,27 @@
         self.is_receiving = False
         self.is_in_head = False
         self.expects_continue = False
+        self.queued_bytes = 0
+        self.stated_bytes = 0
         self._is_finished = False
 
+    @property
+    def arriving_bytes(self) -> int:
+        """Memory of the request that is being received, 0 without one."""
+        return self._start.held_bytes() if self.is_receiving else 0
+
+    def refuse(self, status: http.HTTPStatus) -> None:
+        """Refuse the request that is being received and drop its body."""
+        self._fail(status)
+
+    def refuse_last(self, status: http.HTTPStatus) -> bool:
+        """Refuse the complete request that arrived last, if one waits."""
+        if not self.requests:
+            return False
+        self.queued_bytes -= len(self.requests.pop().request.body)
+        self._fail(status)
+        return True
+
     def feed(self, received: bytes, now: float) -> None:
         """Parse received bytes; bytes behind a closing request are ignored.
 
@@ -146,6 +180,7 @@
         self.is_receiving = True
         self.is_in_head = True
         self.expects_continue = False
+        self.stated_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Add a piece of the target (callback of the parser)."""
@@ -169,8 +204,8 @@
         hosts = [name for name, _ in start.headers if name.lower() == b'host']
         if len(hosts) > 1:
             self._fail(http.HTTPStatus.BAD_REQUEST)
-        length = start.by_name.get('content-length', '0')
-        if int(length) > self._limits().max_body_bytes:
+        self.stated_bytes = int(start.by_name.get('content-length', '0'))
+        if self.stated_bytes > self._limits().max_body_bytes:
             self._fail(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self.expects_continue = 'expect' in start.by_name
 
@@ -191,12 +226,15 @@
         self.is_receiving = False
         self.expects_continue = False
         should_close = not self._parser.should_keep_alive()
+        body = b''.join(start.body)
+        start.body.clear()
+        self.queued_bytes += len(body)
         request = HttpRequest(
             self._parser.get_method().decode(),
             start.url.decode('utf-8', 'surrogateescape'),
             tuple(start.headers),
             start.by_name,
-            b''.join(start.body),
+            body,
             start.now,
         )
         self.requests.append(ParsedRequest(request, should_close))
@@ -208,6 +246,7 @@
 
     def _fail(self, status: http.HTTPStatus) -> None:
         self.error_status = self.error_status or status
+        self._start.body.clear()
 
     def _close_after_last(self) -> None:
         self._is_finished = True
@@ -276,11 +315,22 @@
         self._received_bytes = 0
         self._head: AnswerHead | None = None
         self.is_idle = True
+        self.stated_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the answer that is being received."""
+        return self._received_bytes + PIECE_OVERHEAD_BYTES * len(self._body)
 
     def expect_answer(self) -> None:
         """Start to count the bytes of the next answer."""
         self._received_bytes = 0
         self._body_bytes = 0
+        self.stated_bytes = 0
+
+    def drop(self) -> None:
+        """Drop the body of an answer that is not wanted any more."""
+        self._body.clear()
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes and report the answers in them.
@@ -303,7 +353,7 @@
             raise ValueError(f'head of {framing_bytes} bytes is too large')
         if framing_bytes > self._body_bytes + MIN_FRAMING_BYTES * 2:
             raise ValueError(f'{framing_bytes} bytes beside the body')
-        if self._body_bytes > self._max_body_bytes:
+        if max(self._body_bytes, self.stated_bytes) > self._max_body_bytes:
             raise ValueError(f'body is above {self._max_body_bytes} bytes')
 
     def feed_end(self) -> None:
@@ -341,6 +391,9 @@
             return
         raw_headers = tuple(self._headers)
         self._head = AnswerHead(status, raw_headers, index_headers(raw_headers))
+        if self._has_bodies and status not in STATUS_WITHOUT_BODY:
+            length = self._head.headers.get('content-length', '0')
+            self.stated_bytes = int(length)
         self._events.begin_answer(self._head)
         if not self._has_bodies:
             self._end(should_close=True)
--- a/mustardshunt/relay/_server.py
+++ b/mustardshunt/relay/_server.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from mustardshunt.base import VmAddress
+from mustardshunt.memory import MemoryAccount
 from mustardshunt.relay._caller_connection import CallerConnection
 from mustardshunt.relay._http_parser import LimitSource
 from mustardshunt.relay._messages import RequestHandler
@@ -25,9 +26,17 @@
         Returns the response to each request.
     limits : LimitSource
         Returns the limits on the size and the duration of requests.
+    memory : MemoryAccount
+        Account to which requests and unread responses are charged.
     """
 
-    def __init__(self, handler: RequestHandler, limits: LimitSource) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        limits: LimitSource,
+        memory: MemoryAccount,
+    ) -> None:
+        self.memory = memory
         self.handler = handler
         self.limits = limits
         self.is_closing = False
--- a/mustardshunt/relay/_streams.py
+++ b/mustardshunt/relay/_streams.py
@@ -7,8 +7,10 @@
 from typing import Final, cast
 
 from mustardshunt.base import VmAddress
+from mustardshunt.memory import SMALL_BYTES, HeldPart, MemoryAccount
 from mustardshunt.relay._frame_types import Frame
 from mustardshunt.relay._frames import (
+    DroppedFrame,
     FrameError,
     FrameSplitter,
     encode_frame,
@@ -27,19 +29,25 @@
 
     Parameters
     ----------
+    memory : MemoryAccount
+        Account to which arriving and unsent frames are charged.
     on_open : callable or None
         Called with the stream when the connection is open.
     """
 
     def __init__(
         self,
+        memory: MemoryAccount,
         on_open: 'Callable[[FrameStream], None] | None' = None,
     ) -> None:
+        self._memory = memory
+        self._arriving = memory.open(HeldPart.LINKS)
+        self._outgoing = memory.open(HeldPart.LINKS, self.abort)
         self._on_open = on_open
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._splitter = FrameSplitter()
-        self._frames: deque[Frame] = deque()
+        self._splitter = FrameSplitter(self._arriving)
+        self._frames: deque[Frame | DroppedFrame] = deque()
         self._error: FrameError | None = None
         self._wake: asyncio.Future[None] | None = None
         self._unsent: list[bytes] = []
@@ -51,6 +59,27 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    def can_send(self, size: int) -> bool:
+        """Reserve room for a frame that is sent next.
+
+        Parameters
+        ----------
+        size : int
+            Length of the body in the frame, in bytes.
+
+        Returns
+        -------
+        bool
+            False if the frame must not be sent: it would not fit into the
+            memory before the peer reads it.
+        """
+        if size <= SMALL_BYTES or self._outgoing.reserve(
+            self._outgoing.held + size
+        ):
+            return True
+        self._memory.record_refusal(HeldPart.LINKS, size)
+        return False
+
     def send(self, frame: Frame) -> None:
         """Send a frame; the frame is dropped when the connection is closed.
 
@@ -63,7 +92,7 @@
         if len(self._unsent) == 1:
             self._loop.call_soon(self._write)
 
-    async def frames(self) -> AsyncIterator[Frame]:
+    async def frames(self) -> AsyncIterator[Frame | DroppedFrame]:
         """Yield received frames until the connection ends.
 
         Raises
@@ -108,8 +137,14 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Mark the connection as closed, and wake the reader of the frames."""
         self._transport = None
+        self._arriving.clear()
+        self._outgoing.clear()
         self._notify()
 
+    def resume_writing(self) -> None:
+        """Return the room of the frames that the peer has read."""
+        self._charge_unsent()
+
     def _write(self) -> None:
         transport = self._transport
         unsent = self._unsent
@@ -119,15 +154,36 @@
         transport.write(unsent[0] if len(unsent) == 1 else b''.join(unsent))
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
+            return
+        self._charge_unsent()
+
+    def _charge_unsent(self) -> None:
+        """Charge the frames that the transport keeps, unless they are few.
+
+        The transport reports when less than its low-water mark is left, which
+        is far below ``SMALL_BYTES``.
+        """
+        size = 0
+        if self._transport is not None:
+            size = self._transport.get_write_buffer_size()
+        self._outgoing.is_stated = False
+        self._outgoing.resize(size if size > SMALL_BYTES else 0)
 
     def _notify(self) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
 
 
-async def dial(address: VmAddress) -> FrameStream:
+async def dial(address: VmAddress, memory: MemoryAccount) -> FrameStream:
     """Open a connection to another node and return its stream of frames.
 
+    Parameters
+    ----------
+    address : VmAddress
+        Address of the other node.
+    memory : MemoryAccount
+        Account to which arriving and unsent frames are charged.
+
     Raises
     ------
     OSError
@@ -138,7 +194,7 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
         _, stream = await loop.create_connection(
-            FrameStream,
+            lambda: FrameStream(memory),
             address.host,
             address.port,
         )
@@ -149,6 +205,7 @@
     address: VmAddress,
     on_open: Callable[[FrameStream], None],
     backlog: int,
+    memory: MemoryAccount,
 ) -> asyncio.Server:
     """Listen for connections of other nodes and accept them.
 
@@ -160,6 +217,8 @@
         Called with the stream of each accepted connection.
     backlog : int
         Connections that may wait to be accepted.
+    memory : MemoryAccount
+        Account to which arriving and unsent frames are charged.
 
     Raises
     ------
@@ -168,7 +227,7 @@
     """
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: FrameStream(on_open),
+        lambda: FrameStream(memory, on_open),
         address.host,
         address.port,
         backlog=backlog,
--- a/mustardshunt/relay/tests/test_backend_pool.py
+++ b/mustardshunt/relay/tests/test_backend_pool.py
@@ -8,6 +8,7 @@
 import pytest
 
 from mustardshunt.base import VmAddress
+from mustardshunt.memory import make_memory_account
 from mustardshunt.relay import (
     AnswerHead,
     BackendAnswer,
@@ -73,7 +74,9 @@
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     address = VmAddress(*server.sockets[0].getsockname()[:2])
-    pool = BackendConnectionPool(address, 1 << 20, lambda: None)
+    pool = BackendConnectionPool(
+        address, 1 << 20, lambda: None, make_memory_account(300)
+    )
     job = Job(expects_body)
     pool.submit(job)
     async with asyncio.timeout(3):
@@ -190,7 +193,12 @@
     address = VmAddress(*unused.sockets[0].getsockname()[:2])
     unused.close()
     await unused.wait_closed()
-    pool = BackendConnectionPool(address, 1 << 20, lambda: refusals.append(1))
+    pool = BackendConnectionPool(
+        address,
+        1 << 20,
+        lambda: refusals.append(1),
+        make_memory_account(300),
+    )
     job = Job()
     pool.submit(job)
     async with asyncio.timeout(3):
@@ -215,7 +223,9 @@
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     address = VmAddress(*server.sockets[0].getsockname()[:2])
-    pool = BackendConnectionPool(address, 1 << 20, lambda: None)
+    pool = BackendConnectionPool(
+        address, 1 << 20, lambda: None, make_memory_account(300)
+    )
     job = Job()
     connection = pool.submit(job)
     await asyncio.sleep(0.05)
@@ -264,7 +274,9 @@
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     address = VmAddress(*server.sockets[0].getsockname()[:2])
-    pool = BackendConnectionPool(address, 1 << 20, lambda: None)
+    pool = BackendConnectionPool(
+        address, 1 << 20, lambda: None, make_memory_account(300)
+    )
     former = Job(wanted='0')
     pool.submit(former)
     async with asyncio.timeout(3):
--- a/mustardshunt/relay/tests/test_caller_connection.py
+++ b/mustardshunt/relay/tests/test_caller_connection.py
@@ -8,6 +8,7 @@
 import pytest_asyncio
 
 from mustardshunt.base import VmAddress
+from mustardshunt.memory import make_memory_account
 from mustardshunt.policy import RequestLimits
 from mustardshunt.relay import HttpRequest, HttpResponse, HttpServer
 from mustardshunt.relay._caller_connection import (
@@ -104,7 +105,9 @@
 class Fixture:
     def __init__(self) -> None:
         self.handler = HeldHandler()
-        self.server = HttpServer(self.handler, lambda: LIMITS)
+        self.server = HttpServer(
+            self.handler, lambda: LIMITS, make_memory_account(300)
+        )
         self._callers: list[Caller] = []
 
     async def connect(self) -> Caller:
--- a/mustardshunt/relay/tests/test_frames.py
+++ b/mustardshunt/relay/tests/test_frames.py
@@ -1,11 +1,21 @@
 """Tests of the encoding of frames and the splitting of byte streams."""
 
+from dataclasses import replace
+
 import pytest
 
+from mustardshunt.memory import (
+    HeldPart,
+    MemoryAccount,
+    make_memory_account,
+)
 from mustardshunt.relay import (
+    Answered,
     Call,
     CallStatusRequest,
     Cancel,
+    DroppedFrame,
+    Frame,
     FrameError,
     FrameSplitter,
     decode_frame,
@@ -36,7 +46,7 @@
     frames = [CALL, CallStatusRequest((1, 2)), Cancel(3)]
     stream = b''.join(encode_frame(frame) for frame in frames)
     for size in (1, 3, 50, len(stream)):
-        splitter = FrameSplitter()
+        splitter = FrameSplitter(make_memory_account(300).open(HeldPart.LINKS))
         found = []
         for start in range(0, len(stream), size):
             found.extend(splitter.feed(stream[start : start + size]))
@@ -58,4 +68,41 @@
     # A length prefix above the limit must raise an error at once. Otherwise the
     # node would buffer bytes without a bound.
     with pytest.raises(FrameError):
-        FrameSplitter().feed(b'\xff\xff\xff\xff')
+        FrameSplitter(make_memory_account(300).open(HeldPart.LINKS)).feed(
+            b'\xff\xff\xff\xff'
+        )
+
+
+@pytest.mark.parametrize('size', [1, 7, 4096, 1 << 20])
+@pytest.mark.parametrize(
+    ('frame', 'is_call'),
+    [
+        (replace(CALL, number=1 << 40, body=bytes(1 << 19)), True),
+        (
+            Answered(
+                1 << 40, 200, b'', bytes(1 << 19), 0, 0, is_dependent=False
+            ),
+            False,
+        ),
+    ],
+)
+def test_frame_without_room_is_skipped_and_the_next_one_read(
+    frame: Frame, is_call: bool, size: int
+):
+    """A body for which there is no room ended the link with all its calls."""
+    room = MemoryAccount(capacity=1 << 18, largest_body=1 << 17)
+    splitter = FrameSplitter(room.open(HeldPart.LINKS))
+    stream = encode_frame(frame) + encode_frame(Cancel(3)) + encode_frame(CALL)
+    # The frame begins in pieces of the given size.
+    pieces = [stream[start : start + size] for start in range(0, 64, size)]
+    rest = stream[sum(map(len, pieces)) :]
+    found = []
+    for piece in (*pieces, rest[: 1 << 18], rest[1 << 18 :]):
+        found.extend(splitter.feed(piece))
+    if size < len(stream):
+        assert found[0] == DroppedFrame(is_call, 1 << 40)
+        assert room.held == 0
+    else:
+        # A frame that arrived at once needs no further room.
+        assert found[0] == frame
+    assert found[1:] == [Cancel(3), CALL]
--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -5,6 +5,7 @@
 
 from mustardshunt.base import Clock, Reason
 from mustardshunt.load_balancing import Member
+from mustardshunt.memory import HeldPart, Holding, MemoryAccount
 from mustardshunt.observability import EventLog
 from mustardshunt.policy import PolicyRegistry
 from mustardshunt.quarantine import Fingerprint
@@ -73,6 +74,8 @@
         Log of refused, cancelled and lost calls and of status changes.
     clock : Clock
         Source of the time.
+    memory : MemoryAccount
+        Account to which the bodies of admitted calls are charged.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         registry: PolicyRegistry,
         log: EventLog,
         clock: Clock,
+        memory: MemoryAccount,
     ) -> None:
+        self._memory = memory
         self.service = own.service
         self.header_codec = header_codec
         self.gate = gate
@@ -131,9 +136,17 @@
             now + call.max_queue_wait_ms / MS_PER_SECOND,
         )
         deadline = now + call.remaining_ms / MS_PER_SECOND
-        served = ServedCall(self, call, sink, ticket, deadline)
+        body: Holding | None = None
+        if call.body:
+            body = self._memory.open(HeldPart.CALLS)
+            if not body.reserve(len(call.body)):
+                self._memory.record_refusal(HeldPart.CALLS, len(call.body))
+                self._refuse(call, sink, Reason.OVERLOADED)
+                return None
+        served = ServedCall(self, call, sink, ticket, deadline, body)
         decision = self.gate.admit(ticket, now)
         if isinstance(decision, Reason):
+            served.end()
             self._refuse(call, sink, decision)
             return None
         self._served_by_ticket[ticket] = served
@@ -343,7 +356,7 @@
         )
 
     def _release(self, served: ServedCall) -> DequeuedCalls:
-        served.is_done = True
+        served.end()
         self._served_by_ticket.pop(served.ticket, None)
         return self.gate.release(served.ticket.key, self.clock.now())
 
@@ -352,7 +365,7 @@
             served = self._served_by_ticket.pop(refused_call.request, None)
             if served is None:
                 continue
-            served.is_done = True
+            served.end()
             self._refuse(served.call, served.sink, refused_call.reason)
         for ticket in dequeued.started:
             served = self._served_by_ticket.get(ticket)
--- a/mustardshunt/sidecar/_metrics.py
+++ b/mustardshunt/sidecar/_metrics.py
@@ -86,6 +86,18 @@
             ('event',),
             registry=registry,
         )
+        self.held_bytes = Gauge(
+            'mustardshunt_held_bytes',
+            'Bytes that are kept for callers, servers and peers, by part.',
+            ('part',),
+            registry=registry,
+        )
+        self.given_up = Gauge(
+            'mustardshunt_given_up',
+            'Bodies that were given up or refused for lack of memory.',
+            ('part',),
+            registry=registry,
+        )
 
         # Caches metrics by label values, because the look-up by labels in the
         # client library costs more than the increment.
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -17,6 +17,7 @@
     WeightedRoundRobin,
 )
 from mustardshunt.membership import FollowerRole
+from mustardshunt.memory import HeldPart, MemoryAccount
 from mustardshunt.observability import EventLog, make_event_log
 from mustardshunt.policy import PolicyRegistry, RequestLimits
 from mustardshunt.relay import BackendConnectionPool, HttpServer
@@ -70,6 +71,8 @@
 # Interval between checks of the settings file. The file may change without a
 # SIGHUP signal to the node.
 SETTINGS_CHECK_INTERVAL_SECONDS: Final = 1.0
+# Largest body of a status report or of a request to the node itself.
+MAX_OWN_BODY_BYTES: Final = 65536
 
 
 class LoopClock:
@@ -116,6 +119,8 @@
         Platform-specific parts.
     log : EventLog
         Log of decisions and changes.
+    memory : MemoryAccount
+        Account of the bytes that the node keeps for others.
     file : SettingsFile or None
         File from which changed settings are read, None if the settings
         cannot change.
@@ -126,8 +131,11 @@
         settings: SidecarSettings,
         adapter: PlatformAdapter,
         log: EventLog,
+        memory: MemoryAccount,
         file: SettingsFile | None = None,
     ) -> None:
+        self._memory = memory
+        memory.on_given_up = self._log_given_up
         self._settings = settings
         self._file = file
         self._adapter = adapter
@@ -161,6 +169,7 @@
             node.backend_server,
             RequestLimits().max_body_bytes,
             self._mark_server_lost,
+            memory,
         )
         backend_gate = make_backend_gate(settings.platform.heartbeat)
         self._crashes = CrashMonitor(
@@ -181,6 +190,7 @@
             self._registry,
             log,
             self._clock,
+            memory,
         )
         self._updater = DeploymentUpdater(
             self._own,
@@ -261,15 +271,19 @@
             self._clock,
         )
         self._local = local
-        self._callers = HttpServer(self._ingress, self._request_limits)
-        self._ready = HttpServer(ReadyHandler(self._lifecycle), RequestLimits)
+        self._callers = HttpServer(self._ingress, self._request_limits, memory)
+        self._ready = HttpServer(
+            ReadyHandler(self._lifecycle), _own_request_limits, memory
+        )
         self._control = HttpServer(
             HeartbeatHandler(adapter.heartbeat_codec, self._callee.reports),
-            RequestLimits,
+            _own_request_limits,
+            memory,
         )
         self._metrics_server = HttpServer(
             MetricsHandler(self._metrics, self._refresh_metrics, self._crashes),
-            RequestLimits,
+            _own_request_limits,
+            memory,
         )
         self._peers = PeerServer(
             self._callee,
@@ -279,6 +293,7 @@
                 self._crash_relay,
             ),
             log,
+            memory,
         )
 
     async def run(self) -> None:
@@ -419,6 +434,17 @@
             self._crash_relay,
             self._log,
             self._metrics,
+            self._memory,
+        )
+
+    def _log_given_up(self, part: HeldPart, size: int) -> None:
+        self._log.record(
+            'memory-given-up',
+            self._clock.now(),
+            part=part.value,
+            bytes=size,
+            held=self._memory.held,
+            capacity=self._memory.capacity,
         )
 
     def _apply_members(self, by_name: dict[str, Member]) -> None:
@@ -471,6 +497,11 @@
         gate.labels('is_cold').set(status.is_cold)
         gate.labels('is_open').set(self._callee.gate.is_open())
         gate.labels('connections_opened').set(self._pool.opened)
+        for part, held in self._memory.held_by_part.items():
+            self._metrics.held_bytes.labels(part.value).set(held)
+            self._metrics.given_up.labels(part.value).set(
+                self._memory.given_up_by_part[part]
+            )
         members_by_name = self._member_sync.by_name
         self._metrics.members.labels('known').set(len(members_by_name))
 
@@ -492,9 +523,15 @@
     return [name for name, is_same in sections.items() if not is_same]
 
 
+def _own_request_limits() -> RequestLimits:
+    # Status reports, readiness checks and readings of metrics are small.
+    return RequestLimits(max_body_bytes=MAX_OWN_BODY_BYTES)
+
+
 async def run_sidecar(
     settings: SidecarSettings,
     adapter: PlatformAdapter,
+    memory: MemoryAccount,
     file: SettingsFile,
 ) -> None:
     """Run a sidecar until a stop is requested.
@@ -505,8 +542,10 @@
         Validated settings.
     adapter : PlatformAdapter
         Platform-specific parts.
+    memory : MemoryAccount
+        Account of the bytes that the node keeps for others.
     file : SettingsFile
         Settings file, checked for changes while the node runs.
     """
     log = make_event_log(settings.node.name, settings.node.log_level)
-    await Sidecar(settings, adapter, log, file).run()
+    await Sidecar(settings, adapter, log, memory, file).run()
--- a/mustardshunt/sidecar/_peer_link.py
+++ b/mustardshunt/sidecar/_peer_link.py
@@ -7,6 +7,7 @@
 
 from mustardshunt.base import NO_REVISION, Reason, Revision
 from mustardshunt.load_balancing import Member
+from mustardshunt.memory import MemoryAccount
 from mustardshunt.observability import EventLog
 from mustardshunt.relay import (
     Answered,
@@ -16,6 +17,8 @@
     CallStatusRequest,
     Cancel,
     CrashReportFrame,
+    DroppedFrame,
+    FailureKind,
     Frame,
     FrameError,
     FrameStream,
@@ -144,6 +147,8 @@
         Log of links that open, are lost, are silent or get invalid frames.
     metrics : SidecarMetrics
         Counts lost links.
+    memory : MemoryAccount
+        Account to which frames are charged.
     """
 
     def __init__(
@@ -155,7 +160,9 @@
         crashes: CrashPeers,
         log: EventLog,
         metrics: SidecarMetrics,
+        memory: MemoryAccount,
     ) -> None:
+        self._memory = memory
         self.member = member
         self._incarnation = incarnation
         self._events = events
@@ -215,6 +222,11 @@
                 NotRun(call.number, Reason.LINK_LOST.value, -1, 0)
             )
             return result
+        if not stream.can_send(len(call.head) + len(call.body)):
+            result.set_result(
+                NotRun(call.number, Reason.OVERLOADED.value, -1, 0)
+            )
+            return result
         if not self._future_by_number:
             self._busy_since = self._loop.time()
         self._future_by_number[call.number] = result
@@ -269,7 +281,7 @@
 
     async def _run_once(self) -> None:
         try:
-            stream = await dial(self.member.address)
+            stream = await dial(self.member.address, self._memory)
         except ConnectionRefusedError:
             # No process listens at the address, so the peer process to which
             # the waiting calls were sent has ended.
@@ -296,6 +308,8 @@
         try:
             async for frame in stream.frames():
                 self._handle(frame, stream)
+                # An idle link must not keep the body of its last answer.
+                del frame
         except FrameError as error:
             self._log.record(
                 'link-invalid',
@@ -313,7 +327,9 @@
                 error=repr(error),
             )
 
-    def _handle(self, frame: Frame, stream: FrameStream) -> None:
+    def _handle(self, frame: Frame | DroppedFrame, stream: FrameStream) -> None:
+        if isinstance(frame, DroppedFrame):
+            frame = AnswerLost(frame.number, FailureKind.NO_MEMORY.value)
         if isinstance(frame, Answered | NotRun | AnswerLost):
             future = self._future_by_number.pop(frame.number, None)
             if future is not None and not future.done():
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -6,6 +6,7 @@
 from typing import Final, Protocol, TypeAlias
 
 from mustardshunt.base import Reason, Revision, VmAddress
+from mustardshunt.memory import HeldPart, MemoryAccount
 from mustardshunt.observability import EventLog
 from mustardshunt.relay import (
     Answered,
@@ -15,6 +16,8 @@
     CallStatusRequest,
     Cancel,
     CrashReportFrame,
+    DroppedFrame,
+    FailureKind,
     Frame,
     FrameError,
     FrameStream,
@@ -148,6 +151,8 @@
         Identifier of the process of the sending node.
     callee : Callee
         Runs the calls.
+    memory : MemoryAccount
+        Account to which stored results are charged.
     is_complete : bool
         Whether the session knows all calls that the process has sent, including
         the calls on earlier links.
@@ -157,6 +162,7 @@
         self,
         incarnation: str,
         callee: Callee,
+        memory: MemoryAccount,
         is_complete: bool = True,
     ) -> None:
         self.incarnation = incarnation
@@ -168,7 +174,7 @@
         # Results stay stored after they are sent, because a sent result may not
         # arrive if its link is lost.
         self._result_by_number: OrderedDict[int, CallResult] = OrderedDict()
-        self._stored_bytes = 0
+        self._stored = memory.open(HeldPart.RESULTS)
         self._highest_number = 0
         self._barred_numbers: set[int] = set()
 
@@ -178,11 +184,21 @@
         return self.incarnation.rpartition('-')[0]
 
     def deliver(self, number: int, frame: CallResult) -> None:
-        """Store the result of a call, and send it if a link is open."""
+        """Store the result of a call, and send it if a link is open.
+
+        An answer for which the link has no room is lost: the call has run.
+        """
         self._ticket_by_number.pop(number, None)
+        stream = self.stream
+        if (
+            stream is not None
+            and isinstance(frame, Answered)
+            and not stream.can_send(_result_bytes(frame))
+        ):
+            frame = AnswerLost(number, FailureKind.NO_MEMORY.value)
         self._store_result(number, frame)
-        if self.stream is not None:
-            self.stream.send(frame)
+        if stream is not None:
+            stream.send(frame)
 
     def update_status(self, update: BackendServerStatusUpdate) -> None:
         """Send the status of the backend server if a link is open."""
@@ -198,6 +214,11 @@
         if ticket is not None:
             self._ticket_by_number[call.number] = ticket
 
+    def refuse(self, number: int) -> None:
+        """Refuse a call whose body this node had no room for."""
+        self._highest_number = max(self._highest_number, number)
+        self.deliver(number, NotRun(number, Reason.OVERLOADED.value, -1, 0))
+
     def cancel(self, number: int) -> None:
         """Cancel a call for which its sender no longer waits."""
         ticket = self._ticket_by_number.pop(number, None)
@@ -229,6 +250,7 @@
         for number in list(self._ticket_by_number):
             self.cancel(number)
         self._result_by_number.clear()
+        self._stored.clear()
 
     def _result_of_unknown_call(self, number: int) -> CallResult:
         if number <= self._highest_number or not self._is_complete:
@@ -240,12 +262,19 @@
         return NotRun(number, Reason.LINK_LOST.value, -1, 0)
 
     def _store_result(self, number: int, frame: CallResult) -> None:
+        stored_bytes = self._stored.held + _result_bytes(frame)
+        replaced = self._result_by_number.pop(number, None)
+        if replaced is not None:
+            stored_bytes -= _result_bytes(replaced)
         self._result_by_number[number] = frame
-        self._stored_bytes += _result_bytes(frame)
-        while self._stored_bytes > MAX_STORED_RESULT_BYTES:
-            self._stored_bytes -= _result_bytes(
-                self._result_by_number.popitem(False)[1]
-            )
+        while self._result_by_number and not (
+            stored_bytes <= MAX_STORED_RESULT_BYTES
+            and self._stored.reserve(stored_bytes)
+        ):
+            _, oldest = self._result_by_number.popitem(last=False)
+            stored_bytes -= _result_bytes(oldest)
+        if not self._result_by_number:
+            self._stored.clear()
 
 
 class PeerServer:
@@ -259,6 +288,8 @@
         Functions that serve requests other than calls.
     log : EventLog
         Log of links that are closed for a protocol error.
+    memory : MemoryAccount
+        Account to which frames and stored results are charged.
     """
 
     def __init__(
@@ -266,7 +297,9 @@
         callee: Callee,
         services: PeerServices,
         log: EventLog,
+        memory: MemoryAccount,
     ) -> None:
+        self._memory = memory
         self._callee = callee
         self._services = services
         self._log = log
@@ -277,7 +310,9 @@
 
     async def listen(self, address: VmAddress) -> None:
         """Start to accept links on an address."""
-        self._server = await listen(address, self._accept, LISTEN_BACKLOG)
+        self._server = await listen(
+            address, self._accept, LISTEN_BACKLOG, self._memory
+        )
 
     def check(self, now: float) -> None:
         """Close links on which no frame has arrived for too long."""
@@ -324,6 +359,8 @@
                     return
                 else:
                     self._handle(frame, session, stream)
+                # An idle link must not keep the body of its last call.
+                del frame
         finally:
             if session is not None and session.stream is stream:
                 session.stream = None
@@ -338,7 +375,9 @@
                     session.link,
                 )
 
-    def _open(self, frame: Frame, stream: FrameStream) -> PeerSession:
+    def _open(
+        self, frame: Frame | DroppedFrame, stream: FrameStream
+    ) -> PeerSession:
         if not isinstance(frame, Hello):
             raise FrameError(
                 f'expected Hello as first frame, found {type(frame).__name__}'
@@ -348,6 +387,7 @@
             session = PeerSession(
                 frame.incarnation,
                 self._callee,
+                self._memory,
                 frame.is_first,
             )
             self._session_by_incarnation[frame.incarnation] = session
@@ -368,16 +408,21 @@
 
     def _handle(
         self,
-        frame: Frame,
+        frame: Frame | DroppedFrame,
         session: PeerSession,
         stream: FrameStream,
     ) -> None:
         if isinstance(frame, CrashReportFrame | VerdictFrame | LiftFrame):
             self._services.crashes.receive(frame, session.name)
             return
+        if isinstance(frame, ServerLeaving | ServerLimit):
+            self._handle_forgotten(frame, session.name)
+            return
         match frame:
             case Call():
                 session.start(frame)
+            case DroppedFrame(is_call=True, number=number):
+                session.refuse(number)
             case Cancel():
                 session.cancel(frame.number)
             case Ping():
@@ -386,9 +431,7 @@
                 session.report_call_statuses(frame.numbers)
             case TokenRequestFrame() | TokenGrantFrame():
                 self._handle_tokens(frame, session.name, stream)
-            case ServerLeaving() | ServerLimit():
-                self._handle_forgotten(frame, session.name)
-            case StateRequest() | OperatorState() | MemberState():
+            case _:
                 self._handle_state(frame, stream)
 
     def _handle_ping(self, ping: Ping, name: str, stream: FrameStream) -> None:
@@ -427,7 +470,7 @@
 
     def _handle_state(
         self,
-        frame: StateRequest | OperatorState | MemberState,
+        frame: Frame | DroppedFrame,
         stream: FrameStream,
     ) -> None:
         relay = self._services.relay
--- a/mustardshunt/sidecar/_served_call.py
+++ b/mustardshunt/sidecar/_served_call.py
@@ -3,6 +3,7 @@
 from typing import Any, Final, Protocol
 
 from mustardshunt.base import Clock
+from mustardshunt.memory import Holding
 from mustardshunt.relay import AnswerHead, BackendOutcome, Call
 from mustardshunt.sidecar._ports import HeaderCodec
 from mustardshunt.sidecar._status_publisher import ResultSink
@@ -24,10 +25,27 @@
 
 
 class ServedCall:
-    """Call that waits in the admission queue or runs at the backend server."""
+    """Call that waits in the admission queue or runs at the backend server.
+
+    Parameters
+    ----------
+    owner : ServedCallOwner
+        Component that serves the call.
+    call : Call
+        The call.
+    sink : ResultSink
+        Receives the result.
+    ticket : AdmissionRequest
+        Handle of the call at the gate.
+    deadline : float
+        Time in seconds at which the caller stops waiting.
+    body : Holding or None, default=None
+        Memory of the call's body, None if the call has none.
+    """
 
     __slots__ = (
         '_owner',
+        'body',
         'call',
         'connection',
         'deadline',
@@ -45,7 +63,9 @@
         sink: ResultSink,
         ticket: AdmissionRequest,
         deadline: float,
+        body: Holding | None = None,
     ) -> None:
+        self.body = body
         self._owner = owner
         self.call = call
         self.ticket = ticket
@@ -90,6 +110,12 @@
             head, self.call.request_id
         )
 
+    def end(self) -> None:
+        """Mark the call as ended, and return the memory of its body."""
+        self.is_done = True
+        if self.body is not None:
+            self.body.clear()
+
     def finish(self, outcome: BackendOutcome) -> None:
         """Pass the outcome of the request to the owner of the call."""
         self._owner.complete(self, outcome)
--- a/mustardshunt/sidecar/tests/test_call_status_properties.py
+++ b/mustardshunt/sidecar/tests/test_call_status_properties.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mustardshunt.memory import make_memory_account
 from mustardshunt.observability import EventLog
 from mustardshunt.relay import (
     Answered,
@@ -56,6 +57,9 @@
     def abort(self) -> None:
         """Do nothing: the simulation decides when the link is lost."""
 
+    def can_send(self, size: int) -> bool:
+        return True
+
     def send(self, frame: Frame) -> None:
         self.to_sender.append(frame)
 
@@ -92,7 +96,9 @@
     def __init__(self) -> None:
         self.callee = FakeCallee()
         services = PeerServices(NoDeployment(), NoTokens(), NoCrashes())
-        self.server = PeerServer(self.callee, services, EventLog(None))
+        self.server = PeerServer(
+            self.callee, services, EventLog(None), make_memory_account(300)
+        )
         self.stream: FakeStream | None = None
         self.session: PeerSession | None = None
         self.lost_session: PeerSession | None = None
--- a/mustardshunt/sidecar/tests/test_peer_link.py
+++ b/mustardshunt/sidecar/tests/test_peer_link.py
@@ -7,6 +7,7 @@
 
 from mustardshunt.base import NO_REVISION, VmAddress
 from mustardshunt.load_balancing import Member
+from mustardshunt.memory import make_memory_account
 from mustardshunt.relay import BackendServerStatusUpdate, Ping
 from mustardshunt.sidecar._link_pool import LinkPool
 from mustardshunt.sidecar._peer_link import BUSY_MAX_SILENCE_SECONDS, PeerLink
@@ -24,6 +25,9 @@
         self.sent: list[object] = []
         self.last_received_at = 0.0
 
+    def can_send(self, size: int) -> bool:
+        return True
+
     def send(self, frame: object) -> None:
         self.sent.append(frame)
 
@@ -60,7 +64,16 @@
 def make_link(events: Events, member: Member = MEMBER) -> PeerLink:
     metrics = SimpleNamespace(link_losses=SimpleNamespace(inc=lambda: None))
     log = SimpleNamespace(record=lambda *_, **inputs: None)
-    return PeerLink(member, 'a-1', events, events, NoCrashes(), log, metrics)
+    return PeerLink(
+        member,
+        'a-1',
+        events,
+        events,
+        NoCrashes(),
+        log,
+        metrics,
+        make_memory_account(300),
+    )
 
 
 def open_link(events: Events) -> tuple[PeerLink, FakeStream]:
--- a/mustardshunt/sidecar/tests/test_peer_session.py
+++ b/mustardshunt/sidecar/tests/test_peer_session.py
@@ -1,6 +1,7 @@
 """Status of calls whose link was lost and replaced."""
 
 from mustardshunt.base import NO_REVISION
+from mustardshunt.memory import make_memory_account
 from mustardshunt.observability import EventLog
 from mustardshunt.relay import Answered, AnswerLost, Call, Hello, NotRun
 from mustardshunt.sidecar._peer_server import (
@@ -38,6 +39,9 @@
     def abort(self) -> None:
         self.is_open = False
 
+    def can_send(self, size: int) -> bool:
+        return True
+
     def send(self, frame: object) -> None:
         self.sent.append(frame)
 
@@ -64,7 +68,7 @@
 
 
 def make_session() -> PeerSession:
-    session = PeerSession('a-1', FakeCallee())
+    session = PeerSession('a-1', FakeCallee(), make_memory_account(300))
     session.stream = FakeStream()
     return session
 
@@ -101,7 +105,9 @@
 
 def make_server() -> PeerServer:
     services = PeerServices(NoDeployment(), NoTokens(), NoCrashes())
-    return PeerServer(FakeCallee(), services, EventLog(None))
+    return PeerServer(
+        FakeCallee(), services, EventLog(None), make_memory_account(300)
+    )
 
 
 def request_statuses(session: PeerSession, *numbers: int) -> list[object]:
--- a/mustardshunt/standin/tests/deployment.py
+++ b/mustardshunt/standin/tests/deployment.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from mustardshunt.base import VmAddress
+from mustardshunt.memory import make_memory_account
 from mustardshunt.observability import EventLog
 from mustardshunt.platform import (
     PlatformHeaderCodec,
@@ -149,7 +150,8 @@
         return node
 
     async def start_node(self, settings: SidecarSettings) -> SidecarNode:
-        store = StoreClient(self.store_address)
+        memory = make_memory_account(settings.node.memory_mb)
+        store = StoreClient(self.store_address, memory)
         adapter = PlatformAdapter(
             PlatformHeaderCodec(),
             PlatformHeartbeatCodec(settings.node.service),
@@ -157,7 +159,7 @@
             StoreMemberDirectory(store),
         )
         log = RecordingLog()
-        sidecar = Sidecar(settings, adapter, log)
+        sidecar = Sidecar(settings, adapter, log, memory)
         task = asyncio.create_task(sidecar.run())
         node = SidecarNode(sidecar, settings, log, task, store)
         self.nodes.append(node)
--- a/mustardshunt/standin/tests/test_store_era.py
+++ b/mustardshunt/standin/tests/test_store_era.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mustardshunt.base import Revision
+from mustardshunt.memory import make_memory_account
 from mustardshunt.platform import StoreClient
 from mustardshunt.sidecar import (
     EraChangedError,
@@ -26,7 +27,7 @@
 
 @pytest.fixture
 async def client(store):
-    client = StoreClient(store.address)
+    client = StoreClient(store.address, make_memory_account(300))
     yield client
     client.close()
 
