Find changes whose report was lost within a second

Cause: a follower's request for changes waits for up to 18 s and 1.6 s more, and a lost answer looks like no change. The other nodes rely on the follower, and a pause after a failure came on top of the time that the request had taken. Ruled out: shorter waits in each data centre; the requests that hang are the ones of the nodes that are turned away, and calls to the store are priced. Change: each second one node of the deployment, in turn by the time of day, asks for changes on another connection without waiting, and passes on what it finds. A follower doubts its open request when a change is known from elsewhere, and a pause includes the time of the failed request.

--- a/mustardshunt/membership/__init__.py
+++ b/mustardshunt/membership/__init__.py
@@ -1,5 +1,9 @@
 """Group membership: member records, failure detection and gossip."""
 
+from mustardshunt.membership._check_turns import (
+    CHECK_INTERVAL_SECONDS,
+    CheckTurns,
+)
 from mustardshunt.membership._events import (
     CloseLink,
     MemberChanged,
@@ -25,8 +29,10 @@
 from mustardshunt.membership._search import AddressSearch, make_address_search
 
 __all__ = [
+    'CHECK_INTERVAL_SECONDS',
     'REPORT_TIMEOUT_SECONDS',
     'AddressSearch',
+    'CheckTurns',
     'CloseLink',
     'FollowerRole',
     'MemberChanged',
--- /dev/null
+++ b/mustardshunt/membership/tests/test_check_turns.py
@@ -0,0 +1,29 @@
+"""Turns in which nodes check the platform for unreported changes."""
+
+import pytest
+
+from mustardshunt.membership import CHECK_INTERVAL_SECONDS, CheckTurns
+
+
+@pytest.mark.parametrize('count', [1, 16, 195, 940])
+def test_checks_are_one_interval_apart_at_any_size(count: int):
+    """Checks of each node by itself would grow with the deployment."""
+    names = [f'node-{number}' for number in range(count)]
+    starts = []
+    for name in names:
+        turns = CheckTurns(name)
+        turns.set_members(names)
+        starts.append(turns.seconds_until_turn(1.8e9))
+    starts.sort()
+    period = count * CHECK_INTERVAL_SECONDS
+    following = [*starts[1:], starts[0] + period]
+    for start, following_start in zip(starts, following, strict=True):
+        assert following_start - start == pytest.approx(
+            CHECK_INTERVAL_SECONDS, abs=1e-3
+        )
+
+
+def test_node_that_knows_no_other_node_checks_in_each_interval():
+    """A node must not wait for turns of nodes that it does not know."""
+    turns = CheckTurns('a')
+    assert 0 < turns.seconds_until_turn(12.25) <= CHECK_INTERVAL_SECONDS
--- a/mustardshunt/platform/_store.py
+++ b/mustardshunt/platform/_store.py
@@ -204,7 +204,8 @@
             'after': str(revision.number),
             'wait_ms': str(int(wait * _MS_PER_SECOND)),
         }
-        self._check_era(revision)
+        if revision.era < self._era:
+            self._check_era(revision)
         try:
             answer = await self._get(
                 '/rows-feed', query, wait + REQUEST_TIMEOUT_SECONDS
--- a/mustardshunt/relay/_frame_types.py
+++ b/mustardshunt/relay/_frame_types.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from mustardshunt.base import Revision
+from mustardshunt.base import NO_REVISION, Revision
 from mustardshunt.relay._quarantine_frames import (
     CrashReportFrame,
     LiftFrame,
@@ -213,11 +213,15 @@
         Revision of the newest changed entry of a node that the sender knows.
     is_follower : bool
         Whether the sender follows the platform's changes for the receiver.
+    operator_revision : Revision, default=NO_REVISION
+        Revision up to which the sender knows all operator changes, if it
+        follows.
     """
 
     operator_change: Revision
     member_change: Revision
     is_follower: bool
+    operator_revision: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardshunt/sidecar/_deployment_relay.py
+++ b/mustardshunt/sidecar/_deployment_relay.py
@@ -1,5 +1,6 @@
 """Reports the platform's changes to the nodes of this data centre."""
 
+from collections.abc import Iterable
 from typing import Final, Protocol
 
 from mustardshunt.base import NO_REVISION, Clock, Revision
@@ -135,13 +136,7 @@
     @property
     def is_reporting(self) -> bool:
         """Whether this node follows, and the platform answers it."""
-        operators = self._operators
-        return (
-            self._gate.is_open
-            and operators is not None
-            and not operators.has_failed
-            and operators.revision != NO_REVISION
-        )
+        return self._operators is not None and self._operators.is_answered
 
     def changes(self) -> tuple[Revision, Revision]:
         """Return the newest known changes of operators and of members."""
@@ -152,7 +147,10 @@
     def ping(self, name: str) -> Ping:
         """Return the ping for a node."""
         is_listener = self.is_reporting and name in self._listener_names
-        return Ping(*self.changes(), is_listener)
+        revision = NO_REVISION
+        if is_listener and self._operators is not None:
+            revision = self._operators.revision
+        return Ping(*self.changes(), is_listener, revision)
 
     def check(self, now: float) -> None:
         """Start or stop to follow, end holds; called every 0.1 s."""
@@ -193,15 +191,11 @@
         if not self.is_reporting:
             return
         if update.document or update.evacuated or update.restored:
-            state = self._updater.operator_state()
-            for link in self.listener_links():
-                link.send(state)
+            _send_all(self.listener_links(), self._updater.operator_state())
 
     def report_members(self, update: MemberUpdate, base: Revision) -> None:
         """Send changed entries to the listeners."""
-        frame = encode_member_state(update, base)
-        for link in self.listener_links():
-            link.send(frame)
+        _send_all(self.listener_links(), encode_member_state(update, base))
 
     def greet(self, link: PeerLink, operator_change: Revision) -> None:
         """Send the whole state to a listener whose link has just opened.
@@ -237,8 +231,14 @@
             The state cannot be decoded.
         """
         update = decode_operator_state(frame, self._source)
-        if self._operators is not None:
-            self._operators.receive(update)
+        operators = self._operators
+        if operators is None:
+            return
+        known = operators.newest_change
+        operators.receive(update)
+        if operators.newest_change > known and self._gate.is_open:
+            # The other nodes of this data centre rely on this node.
+            _send_all(self.listener_links(), self._updater.operator_state())
 
     def receive_members(self, frame: MemberState) -> StateRequest | None:
         """Apply the entries that a peer has sent.
@@ -274,6 +274,10 @@
         now = self._clock.now()
         if ping.is_follower:
             self._role.record_report(name, now)
+            if self._operators is not None:
+                self._operators.record_complete(
+                    ping.operator_revision, ping.operator_change
+                )
         else:
             self._role.record_loss(name, now)
         return self._find_missing(ping.operator_change, ping.member_change)
@@ -339,3 +343,8 @@
     def _update_listeners(self) -> None:
         names = self._listener_names if self._gate.is_open else []
         self._links.set_listeners(names)
+
+
+def _send_all(links: Iterable[PeerLink], frame: Frame) -> None:
+    for link in links:
+        link.send(frame)
--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -118,8 +118,14 @@
             encode_evacuated(registry.stored_evacuations.items()),
         )
 
-    def apply_operator_update(self, update: OperatorUpdate) -> None:
-        """Apply a policy and evacuations that operators have declared."""
+    def apply_operator_update(self, update: OperatorUpdate) -> Revision:
+        """Apply a policy and evacuations that operators have declared.
+
+        Returns
+        -------
+        Revision
+            Revision of the newest change of operators that is known now.
+        """
         registry = self._components.registry
         if update.policy is not None:
             self._activate_policy(update.policy, update.document)
@@ -134,14 +140,19 @@
             registry.restore(data_centre, revision)
         self._log_era(update.revision)
         self._revision = max(self._revision, update.revision)
+        newest_change = update.newest_change
         if registry.evacuated != before:
             self._apply_evacuation()
-        if update.newest_change > self._newest_change:
-            self._newest_change = update.newest_change
+            if update.is_snapshot:
+                # The end of an evacuation has no entry in a snapshot.
+                newest_change = update.revision
+        if newest_change > self._newest_change:
+            self._newest_change = newest_change
             callee = self._components.callee
-            callee.status_publisher.revision = update.newest_change
+            callee.status_publisher.revision = newest_change
             # The nodes that call this one learn of the change at once.
             callee.publish_status()
+        return self._newest_change
 
     def check(self, now: float) -> None:
         """End evacuations that were not written again; called every 0.1 s."""
--- a/mustardshunt/sidecar/_link_manager.py
+++ b/mustardshunt/sidecar/_link_manager.py
@@ -60,6 +60,10 @@
         link = self._pool.find(name)
         return link is not None and link.is_open
 
+    def open_links(self) -> list[PeerLink]:
+        """Return the links on which frames can be sent."""
+        return self._pool.open_links()
+
     def set_members(self, by_name: Mapping[str, Member]) -> None:
         """Replace the members of the deployment."""
         self._member_by_name = by_name
--- a/mustardshunt/sidecar/_link_pool.py
+++ b/mustardshunt/sidecar/_link_pool.py
@@ -52,6 +52,10 @@
             )
         return self._link_by_name[name]
 
+    def open_links(self) -> list[PeerLink]:
+        """Return the links on which frames can be sent."""
+        return [link for link in self._link_by_name.values() if link.is_open]
+
     def set_members(self, by_name: Mapping[str, Member]) -> None:
         """Set the members, and close links to changed or removed members."""
         self._member_by_name = by_name
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+import time
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -16,13 +17,14 @@
     RetryThrottle,
     WeightedRoundRobin,
 )
-from mustardshunt.membership import FollowerRole
+from mustardshunt.membership import CheckTurns, FollowerRole
 from mustardshunt.memory import HeldPart, MemoryAccount
 from mustardshunt.observability import EventLog, make_event_log
 from mustardshunt.policy import PolicyRegistry, RequestLimits
 from mustardshunt.relay import BackendConnectionPool, HttpServer
 from mustardshunt.sidecar._background_tasks import BackgroundTasks
 from mustardshunt.sidecar._callee import Callee
+from mustardshunt.sidecar._change_check import ChangeCheck
 from mustardshunt.sidecar._control import (
     HeartbeatCodec,
     HeartbeatHandler,
@@ -248,6 +250,16 @@
             self._relay.report_members,
         )
         self._relay.connect(self._operator_sync, self._member_sync)
+        self._turns = CheckTurns(node.name)
+        self._change_check = ChangeCheck(
+            self._turns,
+            self._operator_sync,
+            self._member_sync,
+            self._relay,
+            self._links,
+            PlatformAvailability('checks', log, self._metrics),
+            time.time,
+        )
         rate_limiter = RateLimiter(caps, self._updater, self._clock)
         self._updater.connect(self._links, rate_limiter)
         local = LocalSession(node.name, self._callee, self._updater)
@@ -319,6 +331,7 @@
             ('operators', self._operator_sync.run),
             ('operator refreshes', self._operator_sync.run_refreshes),
             ('members', self._member_sync.run),
+            ('change checks', self._change_check.run),
             ('registration', self._member_sync.run_registration),
             ('tick', self._run_ticks),
             ('crashes', self._crashes.run),
@@ -450,6 +463,7 @@
     def _apply_members(self, by_name: dict[str, Member]) -> None:
         self._updater.apply_members(by_name)
         self._relay.set_members(by_name)
+        self._turns.set_members(by_name)
         self._crash_relay.set_members(by_name)
 
     def _mark_server_lost(self) -> None:
--- a/mustardshunt/sidecar/_platform_access.py
+++ b/mustardshunt/sidecar/_platform_access.py
@@ -18,6 +18,8 @@
 # platform's store again within two seconds after the store has recovered.
 FIRST_PAUSE_SECONDS: Final = 0.2
 MAX_PAUSE_SECONDS: Final = 1.4
+# Pause after a request that has itself taken longer than the pause.
+MIN_PAUSE_SECONDS: Final = 0.05
 
 UpdateT = TypeVar('UpdateT')
 
@@ -25,6 +27,10 @@
 class Backoff:
     """Exponential backoff with jitter between failed requests.
 
+    A pause is counted from the end of the pause before it. The time in which a
+    request had no answer is part of it, so that a request begins soon after the
+    platform answers again, also if the platform has been silent.
+
     Parameters
     ----------
     random : RandomSource
@@ -34,6 +40,7 @@
     def __init__(self, random: RandomSource) -> None:
         self._random = random
         self._seconds = FIRST_PAUSE_SECONDS
+        self._ended_at = 0.0
 
     def reset(self) -> None:
         """Start again with the first pause, after an answer."""
@@ -41,7 +48,12 @@
 
     async def wait(self) -> None:
         """Wait before the next request; the next pause is longer."""
-        await asyncio.sleep(self._seconds * (0.7 + 0.6 * self._random.random()))
+        loop = asyncio.get_running_loop()
+        pause = self._seconds * (0.7 + 0.6 * self._random.random())
+        if self._seconds > FIRST_PAUSE_SECONDS:
+            pause -= loop.time() - self._ended_at
+        await asyncio.sleep(max(MIN_PAUSE_SECONDS, pause))
+        self._ended_at = loop.time()
         self._seconds = min(MAX_PAUSE_SECONDS, self._seconds * 2)
 
 
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -32,6 +32,9 @@
 # Delay before a requested snapshot is read. If the feed or a peer delivers the
 # change within this time, the snapshot is not needed.
 REFRESH_DELAY_SECONDS: Final = 0.4
+# Time in which an open request for changes reports a change that is already
+# known from elsewhere. Even a slow platform answers within 1 s.
+FEED_REPORT_SECONDS: Final = 1.6
 # Longest delay before a node writes an entry again that the platform has lost.
 # The nodes' writes are spread over this time, since many may be lost at once.
 REWRITE_SPREAD_SECONDS: Final = 0.5
@@ -45,7 +48,8 @@
     source : OperatorSource
         Source of the policies and evacuations.
     on_update : callable
-        Called with each update.
+        Called with each update; returns the revision of the newest change of
+        operators that is known then.
     random : RandomSource
         Source of the jitter in pauses.
     availability : PlatformAvailability
@@ -59,7 +63,7 @@
     def __init__(
         self,
         source: OperatorSource,
-        on_update: Callable[[OperatorUpdate], None],
+        on_update: Callable[[OperatorUpdate], Revision],
         random: RandomSource,
         availability: PlatformAvailability,
         gate: FollowGate,
@@ -76,9 +80,69 @@
         self._requested_change = NO_REVISION
         self.newest_change = NO_REVISION
         self.revision = NO_REVISION
+        self.complete_revision = NO_REVISION
         self.has_failed = False
         self._is_up_to_date = False
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the platform reports changes to this node, as far as known.
+
+        The open request for changes tells nothing while it waits. The claim
+        ends when a request fails, or when a peer knows a change that the open
+        request has not reported.
+        """
+        return (
+            self._gate.is_open
+            and not self.has_failed
+            and self.revision != NO_REVISION
+        )
+
+    def record_complete(
+        self, revision: Revision, newest_change: Revision
+    ) -> None:
+        """Record up to which revision a follower knows all changes.
+
+        Parameters
+        ----------
+        revision : Revision
+            Revision up to which the follower knows all changes of operators.
+        newest_change : Revision
+            Newest change of operators that the follower knows.
+        """
+        if self.newest_change >= newest_change:
+            self.complete_revision = max(self.complete_revision, revision)
+
+    def doubt_feed(self) -> None:
+        """End the open requests for changes: they may never be answered."""
+        if self._gate.is_open and self.revision != NO_REVISION:
+            self._gate.interrupt()
+
+    async def check(self) -> Revision:
+        """Apply changes that nobody has reported; does not wait for one.
+
+        Returns
+        -------
+        Revision
+            Revision of the platform's newest change, in any table.
+
+        Raises
+        ------
+        PlatformError
+            The platform does not answer.
+        """
+        complete = max(self.complete_revision, self.revision)
+        try:
+            update = await self._source.changes(complete, 0.0)
+        except HistoryLostError:
+            update = await self._source.read()
+        self.complete_revision = max(complete, update.revision)
+        known = self.newest_change
+        self.receive(update)
+        if self.newest_change > known and self.is_answered:
+            self._on_report(update)
+        return update.revision
+
     def request_refresh(self, change: Revision) -> None:
         """Request a snapshot, unless a peer soon delivers the change.
 
@@ -95,8 +159,11 @@
         if NO_REVISION.era < self.revision.era < update.revision.era:
             # This node still waits for changes of a former era.
             self._gate.interrupt()
-        self.newest_change = max(self.newest_change, update.newest_change)
-        self._on_update(update)
+        self.newest_change = max(self.newest_change, self._on_update(update))
+        if NO_REVISION < self.revision < self.newest_change:
+            asyncio.get_running_loop().call_later(
+                FEED_REPORT_SECONDS, self._check_feed, self.newest_change
+            )
 
     async def run(self) -> None:
         """Read the changes while this node follows, until cancelled."""
@@ -133,8 +200,13 @@
             try:
                 self._apply(await self._source.read())
             except PlatformError as error:
+                self.has_failed = True
                 self._availability.record_failure(error)
 
+    def _check_feed(self, change: Revision) -> None:
+        if self.revision < change:
+            self.doubt_feed()
+
     async def _follow(self) -> None:
         if self.revision == NO_REVISION:
             update = await self._source.read()
@@ -305,6 +377,20 @@
             if is_replaced:
                 self._on_stale_entry()
 
+    async def check_platform(self) -> None:
+        """Apply changes that nobody has reported; does not wait for one.
+
+        Raises
+        ------
+        PlatformError
+            The platform does not answer.
+        """
+        try:
+            update = await self._directory.changes(self.revision, 0.0)
+        except HistoryLostError:
+            update = await self._directory.read()
+        self.receive(update, is_from_platform=True)
+
     async def leave(self) -> None:
         """Remove the entry of this node; a failure is logged, not raised."""
         try:
--- a/mustardshunt/standin/store_server.py
+++ b/mustardshunt/standin/store_server.py
@@ -7,11 +7,13 @@
 import base64
 import contextlib
 import json
+import weakref
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from mustardshunt.base import VmAddress
 
@@ -80,6 +82,9 @@
         Whether the answers name the era.
     request_count : int
         Number of requests received so far.
+    silent_ports : set of int
+        Ports at which answers are lost; the connection of a lost answer
+        delivers nothing further.
     rewrite_value : callable
         Called with the table, the key and the value of a write by a node;
         returns the value to store.
@@ -90,6 +95,13 @@
         self.era = 0
         self.names_era = True
         self.request_count = 0
+        self.silent_ports: set[int] = set()
+        self._transports: weakref.WeakSet[asyncio.BaseTransport] = (
+            weakref.WeakSet()
+        )
+        self._silent_transports: weakref.WeakSet[asyncio.BaseTransport] = (
+            weakref.WeakSet()
+        )
         self.rewrite_value: Callable[[str, str, str], str] = _keep_value
         self._version = 0
         self._row_by_key: dict[tuple[str, str], _Change] = {}
@@ -100,7 +112,7 @@
 
     async def start(self, address: VmAddress) -> None:
         """Start listening for requests on an address."""
-        application = web.Application()
+        application = web.Application(middlewares=[self._lose_answers])
         application.add_routes([
             web.post('/rows-tx', self._transact),
             web.get('/rows-get', self._get),
@@ -112,6 +124,16 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, address.host, address.port).start()
 
+    async def listen(self, address: VmAddress) -> None:
+        """Listen on a further address, so that its users can be told apart."""
+        if self._runner is None:
+            raise RuntimeError('expected a store that has been started')
+        await web.TCPSite(self._runner, address.host, address.port).start()
+
+    def silence_open_connections(self) -> None:
+        """Lose all answers on the connections that are open now."""
+        self._silent_transports.update(self._transports)
+
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._runner is not None:
@@ -169,6 +191,22 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    @web.middleware
+    async def _lose_answers(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        transport = request.transport
+        response = await handler(request)
+        if transport is None:
+            return response
+        self._transports.add(transport)
+        port = transport.get_extra_info('sockname')[1]
+        if port in self.silent_ports:
+            self._silent_transports.add(transport)
+        if transport in self._silent_transports:
+            await asyncio.Event().wait()
+        return response
+
     async def _transact(self, request: web.Request) -> web.Response:
         self.request_count += 1
         if self.is_down:
--- a/mustardshunt/standin/tests/deployment.py
+++ b/mustardshunt/standin/tests/deployment.py
@@ -136,12 +136,16 @@
     requests: int = 0
 
     async def add_node(
-        self, name: str, zone: str = 'z', with_server: bool = True
+        self,
+        name: str,
+        zone: str = 'z',
+        with_server: bool = True,
+        store_address: VmAddress | None = None,
     ) -> SidecarNode:
         settings = SidecarSettings(
             NodeSection(name, zone, 'stock', next_address(), True, 300, 'INFO'),
             ListenSection(*(next_address() for _ in range(5))),
-            PlatformSection(self.store_address, 0.2),
+            PlatformSection(store_address or self.store_address, 0.2),
             BoundsSection(grace=3.0),
         )
         node = await self.start_node(settings)
@@ -151,7 +155,7 @@
 
     async def start_node(self, settings: SidecarSettings) -> SidecarNode:
         memory = make_memory_account(settings.node.memory_mb)
-        store = StoreClient(self.store_address, memory)
+        store = StoreClient(settings.platform.address, memory)
         adapter = PlatformAdapter(
             PlatformHeaderCodec(),
             PlatformHeartbeatCodec(settings.node.service),
