Keep the cold start after an evacuation, whatever heartbeats report

Cause: the gate let a heartbeat end the cold start that it assumes after an evacuation. A heartbeat has a sequence number and no time, so its arrival says nothing of its age. Ruled out: the rhythm of earlier heartbeats, since the interval is approximate; the second heartbeat after the end, since two may be late; a status check after each return, since checks are dear and take a slot. Change: the gate counts the backend server as cold for the duration of a cold start after its return, or longer if a heartbeat says so.

--- a/mustardshunt/upstream/_gate.py
+++ b/mustardshunt/upstream/_gate.py
@@ -5,6 +5,7 @@
 
 from mustardshunt.base import Reason
 from mustardshunt.policy import ServicePolicy
+from mustardshunt.upstream._cold_start import ColdStart
 from mustardshunt.upstream._cutoff import Cutoff, CutoffDecrease
 from mustardshunt.upstream._events import (
     AdmissionDecision,
@@ -58,7 +59,7 @@
         self._queue = AdmissionQueue()
         self._running: set[Hashable] = set()
         self._service: ServicePolicy | None = None
-        self._cold_until = 0.0
+        self._cold_start = ColdStart()
         self._is_evacuated = False
 
     @property
@@ -92,8 +93,8 @@
 
         When the evacuation begins, all queued calls are refused. During the
         evacuation the backend server has no load. After the evacuation, the
-        backend server therefore counts as cold until its next heartbeat, but
-        not longer than the duration of a cold start.
+        backend server therefore counts as cold for the duration of a cold
+        start, whatever its heartbeats report.
 
         Returns
         -------
@@ -107,8 +108,7 @@
             return DequeuedCalls(
                 refused=_refuse(self._queue.remove_all(), Reason.DRAINING)
             )
-        if self._service is not None:
-            self._cold_until = now + self._service.warmup
+        self._cold_start.record_return(now)
         return DequeuedCalls()
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
@@ -121,7 +121,7 @@
         """
         if not self.liveness.record_heartbeat(heartbeat, now):
             return False
-        self._cold_until = now + heartbeat.cold_for
+        self._cold_start.record_report(heartbeat.cold_for, now)
         self.named_limit.set_run(heartbeat.run)
         return True
 
@@ -228,7 +228,8 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether the backend server is in its cold start."""
-        return now < self._cold_until
+        warmup = 0.0 if self._service is None else self._service.warmup
+        return self._cold_start.is_cold(now, warmup)
 
     def limit(self) -> int:
         """Return how many calls may run at the backend server at once.
