Keep small bodies while other parts of the account are full

Cause: found in reading the change before the landing. Two full parts, such as endless answers beside unread responses, reach the whole capacity, and the account then refused small request bodies and calls of a third part.

--- a/mustardshunt/memory/_account.py
+++ b/mustardshunt/memory/_account.py
@@ -5,6 +5,7 @@
 from typing import Final, TypeAlias
 
 from mustardshunt.memory._victims import (
+    SMALL_BYTES,
     HeldPart,
     LargestUnstated,
     LongestHeld,
@@ -115,7 +116,9 @@
 
     A part of the node may use at most half of the capacity, and holdings give
     way only to others of the same part. A faulty backend server thus cannot end
-    the requests of callers, and slow callers cannot end calls.
+    the requests of callers, and slow callers cannot end calls. Small bodies
+    count only against their part, whatever large ones the other parts keep;
+    their number is bounded by the slots of the server and by the connections.
 
     Parameters
     ----------
@@ -174,7 +177,7 @@
         if is_too_large and holding.can_give_way:
             self._give_up(holding)
             return
-        while self._is_full(part):
+        while self._is_full(part, holding.held):
             victim = self._choose(part)
             if victim is None:
                 return
@@ -182,11 +185,10 @@
 
     def reserve(self, holding: Holding, size: int) -> bool:
         """Reserve bytes of a stated size; see ``Holding.reserve``."""
-        added = size - holding.held
         if size > self.largest_body:
             return False
         part = holding.part
-        while not self._can_reserve(part, added):
+        while not self._can_reserve(holding, size):
             victim = self._choose(part)
             if victim is None or victim is holding or not is_endless(victim):
                 return False
@@ -231,14 +233,16 @@
         self.given_up_by_part[part] += 1
         self.on_given_up(part, size)
 
-    def _is_full(self, part: HeldPart) -> bool:
-        return (
-            self._held_by_part[part] > self._part_limit
-            or self.held > self.capacity
-        )
+    def _is_full(self, part: HeldPart, size: int) -> bool:
+        if self._held_by_part[part] > self._part_limit:
+            return True
+        return size > SMALL_BYTES and self.held > self.capacity
 
-    def _can_reserve(self, part: HeldPart, added: int) -> bool:
-        held = self._held_by_part[part] + added
+    def _can_reserve(self, holding: Holding, size: int) -> bool:
+        added = size - holding.held
+        held = self._held_by_part[holding.part] + added
+        if size <= SMALL_BYTES:
+            return held <= self._part_limit
         return (
             held <= self._part_limit * RESERVABLE_FRACTION
             and self.held + added <= self.capacity * RESERVABLE_FRACTION
@@ -269,7 +273,7 @@
     def _admit_waiting(self) -> None:
         while self._waiting:
             holding, size, resume = self._waiting[0]
-            if not self._can_reserve(holding.part, size - holding.held):
+            if not self._can_reserve(holding, size):
                 return
             self._waiting.popleft()
             holding.is_stated = True
