Charge messages that arrive in one piece without a call

Change: connections skip the account when nothing is charged, and results kept for a lost link are charged in steps of 16 KiB.

--- a/mustardshunt/relay/_answer_memory.py
+++ b/mustardshunt/relay/_answer_memory.py
@@ -28,7 +28,14 @@
         Called without arguments when the answer cannot be kept.
     """
 
-    __slots__ = ('_give_up', '_held', '_memory', '_parser', '_transport')
+    __slots__ = (
+        '_give_up',
+        '_held',
+        '_memory',
+        '_parser',
+        '_transport',
+        'is_charged',
+    )
 
     def __init__(
         self,
@@ -42,6 +49,8 @@
         self._give_up = give_up
         self._held = memory.open(part, give_up)
         self._transport: asyncio.Transport | None = None
+        # Lets a connection whose answers arrive in one piece skip the release.
+        self.is_charged = False
 
     def charge(self, transport: asyncio.Transport) -> None:
         """Charge an answer that has not arrived completely.
@@ -54,6 +63,7 @@
         transport : asyncio.Transport
             Connection on which the answer arrives.
         """
+        self.is_charged = True
         stated_bytes = self._parser.stated_bytes
         if stated_bytes <= SMALL_BYTES:
             self._held.resize(self._parser.held_bytes)
@@ -68,6 +78,7 @@
 
     def release(self) -> None:
         """Drop the answer, which has been passed on or is not wanted."""
+        self.is_charged = False
         self._parser.drop()
         self._memory.stop_waiting(self._held)
         self._held.clear()
--- a/mustardshunt/relay/_backend_pool.py
+++ b/mustardshunt/relay/_backend_pool.py
@@ -323,7 +323,8 @@
         self.abort()
 
     def _set_outcome(self, outcome: BackendOutcome) -> None:
-        self._memory.release()
+        if self._memory.is_charged:
+            self._memory.release()
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(outcome)
 
--- a/mustardshunt/relay/_caller_connection.py
+++ b/mustardshunt/relay/_caller_connection.py
@@ -181,7 +181,12 @@
             self._timer_start = now
         parser = self._parser
         parser.feed(data, now)
-        self._memory.charge_request()
+        if (
+            parser.is_receiving
+            or parser.queued_bytes
+            or self._memory.is_arriving_charged
+        ):
+            self._memory.charge_request()
         if parser.requests:
             self._start_ahead()
             self._limit_reading()
@@ -378,7 +383,8 @@
         if self._transport is None:
             return
         self._transport.write(_render(response, is_last, is_head))
-        self._memory.charge_unread()
+        if self._transport.get_write_buffer_size():
+            self._memory.charge_unread()
 
 
 def _render(response: HttpResponse, is_last: bool, is_head: bool) -> bytes:
--- a/mustardshunt/relay/_caller_memory.py
+++ b/mustardshunt/relay/_caller_memory.py
@@ -33,6 +33,7 @@
         '_ready_bytes',
         '_transport',
         '_unread',
+        'is_arriving_charged',
     )
 
     def __init__(
@@ -48,6 +49,8 @@
         self._bodies = memory.open(HeldPart.REQUESTS)
         self._unread = memory.open(HeldPart.RESPONSES, self._give_up_unread)
         self._ready_bytes = 0
+        # Lets a connection whose requests arrive in one piece skip the charge.
+        self.is_arriving_charged = False
         # Unsent bytes when they last changed, and the time of that change.
         self._progress = (0, 0.0)
         self._transport: asyncio.Transport | None = None
@@ -63,9 +66,7 @@
         it is read.
         """
         parser = self._parser
-        if not parser.is_receiving and not parser.queued_bytes:
-            self._arriving.clear()
-            return
+        self.is_arriving_charged = parser.is_receiving
         if parser.queued_bytes > self._bodies.held:
             # The request that arrived is complete.
             self._arriving.clear()
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -51,6 +51,7 @@
 # Largest total size of the call results stored for one sending node. The
 # results of the last few seconds fit into this size.
 MAX_STORED_RESULT_BYTES: Final = 262144
+STORED_RESULT_STEP_BYTES: Final = 16384
 _FRAME_OVERHEAD_BYTES: Final = 200
 
 CallResult: TypeAlias = Answered | NotRun | AnswerLost
@@ -175,6 +176,7 @@
         # arrive if its link is lost.
         self._result_by_number: OrderedDict[int, CallResult] = OrderedDict()
         self._stored = memory.open(HeldPart.RESULTS)
+        self._stored_bytes = 0
         self._highest_number = 0
         self._barred_numbers: set[int] = set()
 
@@ -250,6 +252,7 @@
         for number in list(self._ticket_by_number):
             self.cancel(number)
         self._result_by_number.clear()
+        self._stored_bytes = 0
         self._stored.clear()
 
     def _result_of_unknown_call(self, number: int) -> CallResult:
@@ -262,19 +265,24 @@
         return NotRun(number, Reason.LINK_LOST.value, -1, 0)
 
     def _store_result(self, number: int, frame: CallResult) -> None:
-        stored_bytes = self._stored.held + _result_bytes(frame)
+        self._stored_bytes += _result_bytes(frame)
         replaced = self._result_by_number.pop(number, None)
         if replaced is not None:
-            stored_bytes -= _result_bytes(replaced)
+            self._stored_bytes -= _result_bytes(replaced)
         self._result_by_number[number] = frame
-        while self._result_by_number and not (
-            stored_bytes <= MAX_STORED_RESULT_BYTES
-            and self._stored.reserve(stored_bytes)
-        ):
+        while not self._has_room():
             _, oldest = self._result_by_number.popitem(last=False)
-            stored_bytes -= _result_bytes(oldest)
-        if not self._result_by_number:
-            self._stored.clear()
+            self._stored_bytes -= _result_bytes(oldest)
+
+    def _has_room(self) -> bool:
+        if self._stored_bytes <= self._stored.held or not self._stored_bytes:
+            return True
+        if self._stored_bytes > MAX_STORED_RESULT_BYTES:
+            return False
+        # Charged in steps, since most results take a few hundred bytes.
+        step = STORED_RESULT_STEP_BYTES
+        steps = -(-self._stored_bytes // step)
+        return self._stored.reserve(steps * step)
 
 
 class PeerServer:
