Judge by the platform's answers alone whether its copy is older

Cause: found while a test that failed once was looked at. A node compared each policy that it received with its own, also one that a peer had sent, to tell whether the store holds an older one. The check for lost changes lets more peers send their state after a return of the store from a copy, which hid that the store is behind; the follower would then not tell its policy to a node that starts. Change: only updates of the platform count. Evidence: test_state_of_a_peer_does_not_hide_that_the_copy_is_older fails without the change and passes with it.

--- a/mustardshunt/sidecar/_deployment_updater.py
+++ b/mustardshunt/sidecar/_deployment_updater.py
@@ -94,7 +94,8 @@
         self._document = b''
         self._revision = NO_REVISION
         self._newest_change = NO_REVISION
-        self.is_ahead = False
+        # Version of the policy that the platform held when it was last read.
+        self._platform_version: int | None = None
         self._known_limits = KnownLimits()
         self._links: LinkManager | None = None
         self._rate_limiter: RateLimiter | None = None
@@ -108,6 +109,17 @@
         self._links = links
         self._rate_limiter = rate_limiter
 
+    @property
+    def is_ahead(self) -> bool:
+        """Whether the platform is known to hold an older policy.
+
+        What peers send tells nothing of what the platform holds.
+        """
+        version = self._platform_version
+        return version is not None and version < (
+            self._components.registry.version
+        )
+
     def operator_state(self) -> OperatorState:
         """Return the policy and the evacuations for a peer."""
         registry = self._components.registry
@@ -118,9 +130,18 @@
             encode_evacuated(registry.stored_evacuations.items()),
         )
 
-    def apply_operator_update(self, update: OperatorUpdate) -> Revision:
+    def apply_operator_update(
+        self, update: OperatorUpdate, is_from_platform: bool
+    ) -> Revision:
         """Apply a policy and evacuations that operators have declared.
 
+        Parameters
+        ----------
+        update : OperatorUpdate
+            What has been declared.
+        is_from_platform : bool
+            Whether the platform has sent the update, and not a peer.
+
         Returns
         -------
         Revision
@@ -129,7 +150,8 @@
         registry = self._components.registry
         if update.policy is not None:
             self._activate_policy(update.policy, update.document)
-            self.is_ahead = update.policy.version < registry.version
+            if is_from_platform:
+                self._platform_version = update.policy.version
         before = registry.evacuated
         if update.is_snapshot and update.revision >= self._revision:
             registry.apply_evacuations(update.revision, update.evacuated)
--- a/mustardshunt/sidecar/_sync.py
+++ b/mustardshunt/sidecar/_sync.py
@@ -48,8 +48,9 @@
     source : OperatorSource
         Source of the policies and evacuations.
     on_update : callable
-        Called with each update; returns the revision of the newest change of
-        operators that is known then.
+        Called with each update, and with whether the platform has sent it;
+        returns the revision of the newest change of operators that is known
+        then.
     random : RandomSource
         Source of the jitter in pauses.
     availability : PlatformAvailability
@@ -63,7 +64,7 @@
     def __init__(
         self,
         source: OperatorSource,
-        on_update: Callable[[OperatorUpdate], Revision],
+        on_update: Callable[[OperatorUpdate, bool], Revision],
         random: RandomSource,
         availability: PlatformAvailability,
         gate: FollowGate,
@@ -138,7 +139,7 @@
             update = await self._source.read()
         self.complete_revision = max(complete, update.revision)
         known = self.newest_change
-        self.receive(update)
+        self.receive(update, is_from_platform=True)
         if self.newest_change > known and self.is_answered:
             self._on_report(update)
         return update.revision
@@ -154,12 +155,16 @@
         self._requested_change = max(self._requested_change, change)
         self._refresh_requested.set()
 
-    def receive(self, update: OperatorUpdate) -> None:
-        """Apply an update that a peer has sent."""
+    def receive(
+        self, update: OperatorUpdate, is_from_platform: bool = False
+    ) -> None:
+        """Apply an update of the platform, or one that a peer has sent."""
         if NO_REVISION.era < self.revision.era < update.revision.era:
             # This node still waits for changes of a former era.
             self._gate.interrupt()
-        self.newest_change = max(self.newest_change, self._on_update(update))
+        self.newest_change = max(
+            self.newest_change, self._on_update(update, is_from_platform)
+        )
         if NO_REVISION < self.revision < self.newest_change:
             asyncio.get_running_loop().call_later(
                 FEED_REPORT_SECONDS, self._check_feed, self.newest_change
@@ -230,7 +235,7 @@
     def _apply(self, update: OperatorUpdate) -> None:
         self.has_failed = False
         self._availability.record_success()
-        self.receive(update)
+        self.receive(update, is_from_platform=True)
 
 
 class MemberSync:
--- a/mustardshunt/standin/tests/test_restored_store.py
+++ b/mustardshunt/standin/tests/test_restored_store.py
@@ -149,6 +149,23 @@
     await wait_until(lambda: started.sidecar._registry.version == 2)
 
 
+async def test_state_of_a_peer_does_not_hide_that_the_copy_is_older(deployment):
+    # The follower would not tell the newer policy to a node that starts.
+    nodes = await start_nodes(deployment, 'ab', 'xx')
+    copy = deployment.store.take_copy()
+    deployment.store.put('op', 'config', make_policy(2))
+    await wait_until(lambda: state_of(nodes) == {(2, ())})
+    await return_from(deployment, copy)
+    await wait_until(
+        lambda: any(node.sidecar._updater.is_ahead for node in nodes)
+    )
+    for node, peer in (nodes, reversed(nodes)):
+        was_ahead = node.sidecar._updater.is_ahead
+        state = peer.sidecar._updater.operator_state()
+        node.sidecar._relay.receive_operators(state)
+        assert node.sidecar._updater.is_ahead == was_ahead
+
+
 async def test_two_returns_in_a_row_lose_no_confirmed_change(deployment):
     # The second copy lacks what was written again after the first return.
     nodes = await start_nodes(deployment)
