Tell peers no own entry that the platform's copy lacks

Callers could see: after a return of the store from a copy, a node counts fewer nodes than there are until the missing one has written its entry again, so that its share of the caps is too large. Cause: a node always told peers that the platform holds its own entry. A peer that heard of the new era from it, before its own read, did not hold the entry as one that the copy lacks, and dropped it with that read. The check for lost changes made it likelier that a peer hears of the era first.

--- a/mustardshunt/sidecar/_member_table.py
+++ b/mustardshunt/sidecar/_member_table.py
@@ -119,11 +119,13 @@
         self._held_by_name = {}
         self._copied_by_name = {}
         for name, member in self.by_name.items():
-            if name == self._own.name:
-                continue
             stored = stored_by_name.get(name)
             if stored is None:
+                # Also the own entry: peers must not take it for one that the
+                # platform holds before it has been written again.
                 self._held_by_name[name] = member
+            elif name == self._own.name:
+                continue
             elif stored.incarnation != member.incarnation:
                 self._copied_by_name[name] = stored
 
--- a/mustardshunt/sidecar/tests/test_member_table.py
+++ b/mustardshunt/sidecar/tests/test_member_table.py
@@ -52,6 +52,21 @@
     assert set(table.by_name) == {'a', 'b'}
 
 
+def test_node_that_has_not_written_again_tells_peers_no_entry_of_its_own(
+    table,
+):
+    # A peer took it for stored, and dropped it after its next own read.
+    table.merge(make_update(1, 4, OTHER))
+    assert table.stored() == (OTHER,)
+    peer = MemberTable(OTHER)
+    peer.merge(make_update(0, 9, OWN, OTHER))
+    peer.merge(make_update(1, 4, *table.stored()))
+    peer.merge(make_update(1, 5, OTHER))
+    assert set(peer.by_name) == {'a', 'b'}
+    table.merge(make_update(1, 6, OWN, is_snapshot=False))
+    assert set(table.stored()) == {OWN, OTHER}
+
+
 def test_node_that_has_written_again_counts_as_stored(table):
     # Peers must be told of it.
     table.merge(make_update(1, 4, OWN))
