Wait for the exit of a crashed server in its process test

The test restarts crashed servers by is_running, which is false only after the event loop has been told of the exit. The caller's answer can come first, since a process that exits closes its connections before its exit is reported. A server that crashed in the attempt whose retry was refused was not restarted either.

Change: after each attempt, the last included, a server that does not answer is waited for, counted and restarted. The assertions are the same; crashes in the last attempt are now counted too.

--- a/mustardshunt/standin/tests/test_process_crashes.py
+++ b/mustardshunt/standin/tests/test_process_crashes.py
@@ -3,9 +3,11 @@
 import asyncio
 
 import pytest
+from aiohttp import ClientError
 
 from mustardshunt.standin._load_generator import LoadGenerator, LoadPlan
 from mustardshunt.standin._local_fleet import READY_TIMEOUT_SECONDS, LocalFleet
+from mustardshunt.standin._local_vm import LocalProcess, LocalVm
 
 pytestmark = pytest.mark.processes
 
@@ -71,6 +73,23 @@
                 await asyncio.sleep(0.05)
 
 
+async def has_crashed(
+    fleet: LocalFleet, vm: LocalVm, server: LocalProcess
+) -> bool:
+    """Tell whether a backend server has crashed.
+
+    A process that exits closes its connections first, so a caller may get the
+    answer to a lost call before the exit is reported. A server that still
+    answers has not crashed; otherwise this waits for its exit.
+    """
+    try:
+        await fleet.read_json(f'{vm.server_url}/standin/counters')
+    except ClientError:
+        await server.wait()
+        return True
+    return False
+
+
 async def test_crashing_request_is_refused_and_harmless_ones_are_not(
     fleet, tmp_path
 ):
@@ -90,14 +109,16 @@
     for _ in range(ATTEMPTS):
         found = await callers.send(POISON, vms[0].caller_url)
         outcomes.append((found.outcome, found.effect))
-        if found.outcome == 'quarantined':
-            break
+        # A retry may be refused after the first try has crashed a server, so
+        # the servers are restarted after the last request, too.
         for vm in vms:
-            if not servers[vm.name].is_running:
+            if await has_crashed(fleet, vm, servers[vm.name]):
                 crashes += 1
                 servers[vm.name] = await fleet.start_backend_server(
                     vm, 'stock', *OPTIONS
                 )
+        if found.outcome == 'quarantined':
+            break
         for vm in vms:
             await fleet.wait_for_state(vm, {'serving': 3, 'service': 'stock'})
     assert outcomes[-1] == ('quarantined', 'not-run'), outcomes
