Check for lost changes in each data centre

One node of the whole deployment in turn asked the store each second. A node tells others what it finds over links, and data centres between which no calls go have none, so a change whose report was lost came to one of them only with the turn of one of its own nodes.

Change: each data centre has turns of its own. The store gets one short request a second from each data centre instead of one in all.

--- a/mustardshunt/membership/_check_turns.py
+++ b/mustardshunt/membership/_check_turns.py
@@ -5,19 +5,21 @@
 
 from mustardshunt.base import rank_of
 
-# Time from one check to the next, over all nodes of the deployment. A change
+# Time from one check to the next, over all nodes of a data centre. A change
 # whose report was lost is found within this time; with the time in which nodes
 # tell each other, this is less than the 2 s in which a change must be in force.
 CHECK_INTERVAL_SECONDS: Final = 1.0
 
 
 class CheckTurns:
-    """Turns in which the nodes of a deployment check the platform.
+    """Turns in which the nodes of a data centre check the platform.
 
-    The turns follow from the time of day and the order of the nodes, so no
-    message is needed, and the number of checks does not grow with the number
-    of nodes. A node that is cut off from the platform misses its turn; the next
-    turn belongs to another node.
+    Each data centre has turns of its own, since nodes of two data centres tell
+    each other of changes only if calls go from one to the other. The turns
+    follow from the time of day and the order of the nodes, so no message is
+    needed, and the number of checks does not grow with the number of nodes. A
+    node that is cut off from the platform misses its turn; the next turn
+    belongs to another node.
 
     Parameters
     ----------
@@ -38,7 +40,7 @@
         self._offset = 0.0
 
     def set_members(self, names: Iterable[str]) -> None:
-        """Set the names of all nodes, this node included."""
+        """Set the names of the nodes in this node's data centre."""
         ranked_names = sorted({*names, self._name}, key=rank_of)
         self._period = CHECK_INTERVAL_SECONDS * len(ranked_names)
         self._offset = CHECK_INTERVAL_SECONDS * ranked_names.index(self._name)
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -463,7 +463,11 @@
     def _apply_members(self, by_name: dict[str, Member]) -> None:
         self._updater.apply_members(by_name)
         self._relay.set_members(by_name)
-        self._turns.set_members(by_name)
+        self._turns.set_members(
+            name
+            for name, member in by_name.items()
+            if member.data_centre == self._own.data_centre
+        )
         self._crash_relay.set_members(by_name)
 
     def _mark_server_lost(self) -> None:
--- a/mustardshunt/standin/tests/test_silent_store.py
+++ b/mustardshunt/standin/tests/test_silent_store.py
@@ -42,13 +42,13 @@
         )
         return self.by_name[name]
 
-    async def send_reads(self) -> None:
-        """Send reads to all nodes, so that they have links to each other."""
+    async def send_reads(self, *names: str) -> None:
+        """Send reads to nodes, so that they have links to those they call."""
         while True:
             await asyncio.gather(
                 *(
-                    self.deployment.call(node, 'GET', '/open/1')
-                    for node in self.by_name.values()
+                    self.deployment.call(self.by_name[name], 'GET', '/open/1')
+                    for name in names
                 )
             )
             await asyncio.sleep(0.1)
@@ -87,7 +87,8 @@
 
 
 @pytest_asyncio.fixture
-async def nodes(deployment: Deployment) -> AsyncIterator[Nodes]:
+async def quiet_nodes(deployment: Deployment) -> Nodes:
+    """Four nodes that nobody calls; data centre y is evacuated."""
     nodes = Nodes(deployment)
     for name in ZONE_BY_NODE:
         await nodes.add(name)
@@ -98,9 +99,15 @@
     await wait_until(lambda: nodes.states() == {(1, ('y',))})
     # One follower is left in each data centre, with its requests open.
     await wait_until(lambda: len(nodes.followers()) == 2)
-    reads = asyncio.create_task(nodes.send_reads())
+    return nodes
+
+
+@pytest_asyncio.fixture
+async def nodes(quiet_nodes: Nodes) -> AsyncIterator[Nodes]:
+    """Return the nodes once all of them are called."""
+    reads = asyncio.create_task(quiet_nodes.send_reads(*ZONE_BY_NODE))
     await asyncio.sleep(1.0)
-    yield nodes
+    yield quiet_nodes
     reads.cancel()
     await asyncio.gather(reads, return_exceptions=True)
 
@@ -134,6 +141,24 @@
             await asyncio.sleep(0.05)
 
 
+@pytest.mark.parametrize('change', CHANGES)
+@pytest.mark.parametrize('second', range(len(ZONE_BY_NODE)))
+async def test_each_data_centre_finds_changes_by_itself(
+    quiet_nodes: Nodes, change: str, second: int
+):
+    """Data centres that don't call each other tell each other nothing.
+
+    While one node of the whole deployment checked in turn, a change came up to
+    3 s late to one of these data centres, in some of the seconds.
+    """
+    quiet_nodes.store.silence_open_connections()
+    await asyncio.sleep(STABLE_WINDOW_SECONDS + second)
+    expected = quiet_nodes.declare(change)
+    async with asyncio.timeout(CONFIG_APPLY_SECONDS):
+        while quiet_nodes.states() != {expected}:
+            await asyncio.sleep(0.05)
+
+
 async def test_late_answer_brings_nothing_back(nodes: Nodes):
     """A follower must not return to what a lost answer would have said."""
     nodes.store.silence_open_connections()
