--- a/mustardshunt/relay/_http_parser.py
+++ b/mustardshunt/relay/_http_parser.py
@@ -31,6 +31,7 @@
 # Largest number of header names whose lower-case text is cached.
 NAME_CACHE_SIZE: Final = 512
 _FIRST_FINAL_STATUS: Final = 200
+_CONNECT: Final = b'CONNECT'
 # Start of another answer inside a reason phrase or a header: the first answer
 # has been cut short, and its status or headers would be taken for those of the
 # answer behind it.
@@ -160,11 +161,7 @@
         start = self._start
         start.now = now
         try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            # No protocol is switched to. The caller may already have sent
-            # bytes of the other protocol, so the connection is closed.
-            self._close_after_last()
+            self._parse(received)
         except httptools.HttpParserError:
             if not self._is_finished:
                 self._fail(http.HTTPStatus.BAD_REQUEST)
@@ -220,7 +217,7 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to the requests (callback)."""
-        if self.error_status:
+        if self.error_status or self._offers_upgrade():
             return
         start = self._start
         self.is_receiving = False
@@ -240,6 +237,60 @@
         self.requests.append(ParsedRequest(request, should_close))
         self._is_finished = should_close
 
+    def _parse(self, received: bytes) -> None:
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self._offers_upgrade():
+                self._parse_without_offer(received[upgrade.args[0] :])
+            else:
+                # After CONNECT, what follows is for another server.
+                self._close_after_last()
+
+    def _offers_upgrade(self) -> bool:
+        """Whether the parser expects another protocol behind the last head.
+
+        CONNECT has no body, so its request is complete.
+        """
+        method: bytes = self._parser.get_method()
+        return bool(self._parser.should_upgrade()) and method != _CONNECT
+
+    def _parse_without_offer(self, received: bytes) -> None:
+        """Parse the last head once more, as if it offered no upgrade.
+
+        No protocol is switched to, so the body of the request follows the head
+        (RFC 9110, 7.8); the parser takes a body behind an offer for the other
+        protocol. The connection closes after the request, since the caller may
+        send bytes of the other protocol behind it.
+
+        Parameters
+        ----------
+        received : bytes
+            Bytes behind the head.
+        """
+        if self.error_status:
+            return
+        start = self._start
+        lines = [
+            b'%b %b HTTP/%b'
+            % (
+                self._parser.get_method(),
+                start.url,
+                self._parser.get_http_version().encode(),
+            )
+        ]
+        for name, text in start.headers:
+            match name.lower():
+                case b'upgrade':
+                    continue
+                case b'connection':
+                    lines.append(b'%b: %b, close' % (name, text))
+                case _:
+                    lines.append(b'%b: %b' % (name, text))
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b'\r\n'.join([*lines, b'', b'']))
+        self._parser.feed_data(received)
+
     def _check_head(self, head_bytes: int) -> None:
         if head_bytes > self._limits().max_header_bytes:
             self._fail(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
--- a/mustardshunt/relay/tests/test_caller_connection.py
+++ b/mustardshunt/relay/tests/test_caller_connection.py
@@ -37,7 +37,9 @@
     def __init__(self) -> None:
         self.started: list[str] = []
         self.cancelled: list[str] = []
+        # Bodies of answers; by default, a request gets its own body back.
         self.body_by_target: dict[str, bytes] = {}
+        self.received_by_target: dict[str, bytes] = {}
         self._event_by_target: dict[str, asyncio.Event] = {}
 
     def release(self, *targets: str) -> None:
@@ -54,6 +56,7 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
+        self.received_by_target[request.target] = request.body
         if request.target == '/error':
             raise RuntimeError('handler failed')
         body = self.body_by_target.get(request.target, request.body)
@@ -379,6 +382,57 @@
     assert not fixture.handler.started
 
 
+OFFER = (
+    'POST /1 HTTP/1.1\r\nHost: h\r\nHTTP2-Settings: AAMAAABk\r\n'
+    'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+)
+
+
+@pytest.mark.parametrize(
+    'framed_body',
+    [
+        'Content-Length: 3\r\n\r\nabc',
+        'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n',
+    ],
+)
+async def test_request_that_offers_an_upgrade_keeps_its_body(
+    fixture: Fixture, framed_body: str
+):
+    """The body was dropped, and the order ran with an empty one (review/1)."""
+    text = OFFER + framed_body
+    fixture.handler.release('/0', '/1')
+    for end, _ in enumerate(text):
+        caller = await fixture.connect()
+        caller.send('/0')
+        caller.write(text[:end])
+        await asyncio.sleep(0.001)
+        caller.write(text[end:])
+        caller.send('/2')
+        assert (await caller.read_answer())[:2] == (200, '/0')
+        assert await caller.read_answer() == (200, '/1', True)
+        assert await caller.read_to_end() == b''
+        assert fixture.handler.received_by_target.pop('/1') == b'abc'
+    assert '/2' not in fixture.handler.started
+
+
+@pytest.mark.parametrize(
+    ('head', 'status'),
+    [
+        ('Content-Length: 4097\r\n\r\n', 413),
+        ('Content-Length: 1\r\nContent-Length: 2\r\n\r\n', 400),
+        ('Transfer-Encoding: chunked\r\n\r\nx', 400),
+    ],
+)
+async def test_limits_hold_for_a_request_that_offers_an_upgrade(
+    fixture: Fixture, head: str, status: int
+):
+    """A request whose head is parsed twice must pass the same checks."""
+    caller = await fixture.connect()
+    caller.write(OFFER + head)
+    assert await caller.read_answer() == (status, '', True)
+    assert not fixture.handler.started
+
+
 async def test_request_split_at_every_byte_is_parsed(fixture: Fixture):
     """The boundaries of packets must not change a request."""
     text = (
