Wait for requests in progress before a restart for changed settings

A process whose settings file has changed makes a planned stop by itself.

Change: PlannedStop knows whether a kill is expected. A restart waits for the requests in progress, at most for the longest time-out of a route, and no less than the grace time. A signal that comes meanwhile starts the grace time.

--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -307,6 +307,16 @@
             log,
             memory,
         )
+        self._planned_stop = PlannedStop(
+            settings.bounds.grace,
+            self._longest_timeout,
+            self._lifecycle,
+            self._callers,
+            self._ingress,
+            self._callee,
+            log,
+            self._clock,
+        )
 
     async def run(self) -> None:
         """Serve until a stop is requested, then drain and close."""
@@ -343,21 +353,15 @@
                 ServerPhase.GONE,
                 ServerPhase.DRAINING,
             }
-            exit_deadline = await PlannedStop(
-                self._lifecycle,
-                self._callers,
-                self._ingress,
-                self._callee,
-                self._log,
-                self._clock,
-            ).run(self._settings.bounds.grace)
+            await self._planned_stop.run()
             if server_has_left:
-                await self._leave(exit_deadline)
+                await self._leave()
         finally:
             self._close()
 
     def request_stop(self) -> None:
-        """Request a planned stop; accepted requests are answered first."""
+        """Make a planned stop within the grace time, as the platform asks."""
+        self._planned_stop.expect_kill()
         self._stop_requested.set()
 
     async def _listen(self) -> None:
@@ -399,9 +403,9 @@
                 if self._file is not None and self._file.has_changed():
                     self._reload()
 
-    async def _leave(self, exit_deadline: float) -> None:
+    async def _leave(self) -> None:
         try:
-            async with asyncio.timeout_at(exit_deadline):
+            async with asyncio.timeout_at(self._planned_stop.exit_deadline):
                 await self._member_sync.leave()
         except TimeoutError:
             self._log.record('entry-not-removed', self._clock.now())
@@ -493,7 +497,7 @@
             # The settings of a running process cannot change: the process
             # makes a planned stop and is started again with the new settings.
             outcome = 'restart'
-            self.request_stop()
+            self._stop_requested.set()
         self._log.record(
             'reload',
             self._clock.now(),
@@ -501,6 +505,13 @@
             changed=changed,
         )
 
+    def _longest_timeout(self) -> float:
+        active_policy = self._registry.active
+        if active_policy is None:
+            return 0.0
+        routes = active_policy.policy.route_by_name.values()
+        return max((route.timeout for route in routes), default=0.0)
+
     def _refresh_metrics(self) -> None:
         status = self._callee.status()
         gate = self._metrics.gate
--- a/mustardshunt/sidecar/_planned_stop.py
+++ b/mustardshunt/sidecar/_planned_stop.py
@@ -1,6 +1,8 @@
 """Steps of a planned stop, and the time that each of them takes."""
 
 import asyncio
+import math
+from collections.abc import Callable
 from typing import Final
 
 from mustardshunt.base import Clock
@@ -25,8 +27,16 @@
 class PlannedStop:
     """Serves, then refuses new requests, and waits for those in progress.
 
+    The platform kills the process when the grace time after its signal is over.
+    A node that restarts by itself, to use changed settings, waits until its
+    requests have ended: nobody kills it, unless a signal comes meanwhile.
+
     Parameters
     ----------
+    grace : float
+        Seconds from a signal to stop until the process is killed.
+    longest_timeout : callable
+        Returns the longest time that a request may take, in seconds.
     lifecycle : SidecarLifecycle
         State of the node, which callers see in its readiness.
     callers : HttpServer
@@ -43,6 +53,8 @@
 
     def __init__(
         self,
+        grace: float,
+        longest_timeout: Callable[[], float],
         lifecycle: SidecarLifecycle,
         callers: HttpServer,
         ingress: Ingress,
@@ -50,40 +62,51 @@
         log: EventLog,
         clock: Clock,
     ) -> None:
+        self._grace = grace
+        self._longest_timeout = longest_timeout
         self._lifecycle = lifecycle
         self._callers = callers
         self._ingress = ingress
         self._callee = callee
         self._log = log
         self._clock = clock
+        # Time by which the process must have ended, infinite while unknown.
+        self.exit_deadline = math.inf
 
-    async def run(self, grace: float) -> float:
-        """Stop serving; return the time by which the process must have ended.
+    def expect_kill(self) -> None:
+        """Note that the process is killed when the grace time is over."""
+        kill_at = self._clock.now() + self._grace
+        self.exit_deadline = min(
+            self.exit_deadline, kill_at - EXIT_RESERVE_SECONDS
+        )
 
-        Parameters
-        ----------
-        grace : float
-            Seconds from now until the process is killed.
-        """
-        requested_at = self._clock.now()
+    async def run(self) -> None:
+        """Stop serving; return when the process may end."""
         self._lifecycle.drain()
         self._log.record(
-            'stop', requested_at, in_flight=self._callee.in_flight()
+            'stop', self._clock.now(), in_flight=self._callee.in_flight()
         )
         self._callers.is_closing = True
         self._callee.is_leaving = True
         self._callee.publish_status()
-        exit_deadline = requested_at + grace - EXIT_RESERVE_SECONDS
-        await asyncio.sleep(min(DRAIN_SECONDS, grace * DRAIN_GRACE_FRACTION))
+        await asyncio.sleep(
+            min(DRAIN_SECONDS, self._grace * DRAIN_GRACE_FRACTION)
+        )
         # New requests get 503 from here on. The listening socket stays open:
         # closing it would reset the connections that wait to be accepted.
         self._lifecycle.leave()
         self._ingress.is_stopped = True
         self._callers.close_idle()
-        while self._clock.now() < exit_deadline and self._is_busy():
+        if self.exit_deadline == math.inf:
+            # A restart. After the longest time that a request may take, all
+            # time-outs have passed; a caller that reads more slowly than that
+            # must not keep the node out of service.
+            self.exit_deadline = self._clock.now() + max(
+                self._longest_timeout(), self._grace
+            )
+        while self._clock.now() < self.exit_deadline and self._is_busy():
             await asyncio.sleep(_STOP_CHECK_SECONDS)
             self._callers.close_idle()
-        return exit_deadline
 
     def _is_busy(self) -> bool:
         return bool(self._callers.active_requests() or self._callee.in_flight())
--- a/mustardshunt/standin/tests/deployment.py
+++ b/mustardshunt/standin/tests/deployment.py
@@ -19,7 +19,7 @@
     StoreMemberDirectory,
     StoreOperatorSource,
 )
-from mustardshunt.sidecar import PlatformAdapter, Sidecar
+from mustardshunt.sidecar import PlatformAdapter, SettingsFile, Sidecar
 from mustardshunt.sidecar._settings import (
     BoundsSection,
     ListenSection,
@@ -153,7 +153,9 @@
             await self.add_server(f'i-{name}', settings)
         return node
 
-    async def start_node(self, settings: SidecarSettings) -> SidecarNode:
+    async def start_node(
+        self, settings: SidecarSettings, file: SettingsFile | None = None
+    ) -> SidecarNode:
         memory = make_memory_account(settings.node.memory_mb)
         store = StoreClient(settings.platform.address, memory)
         adapter = PlatformAdapter(
@@ -163,7 +165,7 @@
             StoreMemberDirectory(store),
         )
         log = RecordingLog()
-        sidecar = Sidecar(settings, adapter, log, memory)
+        sidecar = Sidecar(settings, adapter, log, memory, file)
         task = asyncio.create_task(sidecar.run())
         node = SidecarNode(sidecar, settings, log, task, store)
         self.nodes.append(node)
--- a/mustardshunt/standin/tests/test_pipelining.py
+++ b/mustardshunt/standin/tests/test_pipelining.py
@@ -17,19 +17,25 @@
         self._reader = reader
         self.writer = writer
 
-    def send(self, request_id: str, path: str, method: str = 'GET') -> None:
+    def send(
+        self,
+        request_id: str,
+        path: str,
+        method: str = 'GET',
+        deadline_ms: int = 1500,
+    ) -> None:
         self.writer.write(
             (
                 f'{method} {path} HTTP/1.1\r\nHost: h.example\r\n'
                 f'Mustardshunt-Request-Id: {request_id}\r\n'
-                'Mustardshunt-Deadline-Ms: 1500\r\n'
+                f'Mustardshunt-Deadline-Ms: {deadline_ms}\r\n'
                 'Authorization: Bearer k-acme\r\n\r\n'
             ).encode()
         )
 
-    async def read_answer(self) -> tuple[int, str, bool]:
+    async def read_answer(self, seconds: float = 4.0) -> tuple[int, str, bool]:
         """Return status, request id and whether the connection closes."""
-        async with asyncio.timeout(4):
+        async with asyncio.timeout(seconds):
             head = (await self._reader.readuntil(b'\r\n\r\n')).decode()
             lines = head.split('\r\n')
             by_name = {}
--- a/mustardshunt/standin/tests/test_stop_under_load.py
+++ b/mustardshunt/standin/tests/test_stop_under_load.py
@@ -1,14 +1,24 @@
 """Tests of planned stops while callers send requests without a pause."""
 
 import asyncio
-from dataclasses import dataclass, field
+import os
+import signal
+from dataclasses import dataclass, field, replace
+from pathlib import Path
 
 import pytest
 
 from mustardshunt.base import VmAddress
+from mustardshunt.sidecar import SettingsFile, SidecarSettings
+from mustardshunt.sidecar._planned_stop import DRAIN_SECONDS
+from mustardshunt.sidecar._settings import ListenSection
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
+    make_policy,
+    make_route,
+    next_address,
+    wait_until,
 )
 from mustardshunt.standin.tests.test_pipelining import PipeliningCaller
 
@@ -116,7 +126,9 @@
     assert list(tally.status_by_id.values()).count(200) > CONNECTIONS
 
 
-async def send_once(address: VmAddress, number: int, tally: Tally) -> None:
+async def send_once(
+    address: VmAddress, number: int, tally: Tally, deadline_ms: int = 1500
+) -> None:
     """Send one order on a connection of its own and wait for its answer."""
     request_id = f'late-{number}'
     try:
@@ -125,8 +137,9 @@
         return
     caller = PipeliningCaller(*streams)
     try:
-        caller.send(request_id, '/order/x', 'POST')
-        tally.status_by_id[request_id] = (await caller.read_answer())[0]
+        caller.send(request_id, '/order/x', 'POST', deadline_ms)
+        status, _, _ = await caller.read_answer(deadline_ms / 1000 + 2.5)
+        tally.status_by_id[request_id] = status
     except (ConnectionError, asyncio.IncompleteReadError):
         tally.cut_off_ids.append(request_id)
     finally:
@@ -159,3 +172,102 @@
     assert not run_ids & set(tally.cut_off_ids)
     assert {tally.status_by_id[request_id] for request_id in run_ids} == {200}
     assert 503 in tally.status_by_id.values()
+
+
+class ChangedFile(SettingsFile):
+    """Settings file whose settings differ from those of the process."""
+
+    def __init__(self, settings: SidecarSettings) -> None:
+        super().__init__(Path('unused'))
+        bounds = replace(settings.bounds, retry_ratio=0.9)
+        self._changed = replace(settings, bounds=bounds)
+
+    def read(self) -> SidecarSettings:
+        return self._changed
+
+    def has_changed(self) -> bool:
+        return False
+
+
+async def start_restarting_node(
+    deployment: Deployment, timeout_ms: int
+) -> SidecarNode:
+    """Start a node whose settings have changed, beside another one."""
+    route = make_route('/order/', 'non_idempotent', 'stock')
+    route['timeout'] = f'{timeout_ms}ms'
+    deployment.store.put('op', 'config', make_policy(2, routes={'o': route}))
+    other = await deployment.add_node('b')
+    settings = replace(
+        other.settings,
+        node=replace(
+            other.settings.node, name='a', backend_server=next_address()
+        ),
+        listen=ListenSection(*(next_address() for _ in range(5))),
+    )
+    node = await deployment.start_node(settings, ChangedFile(settings))
+    await wait_until(lambda: node.sidecar._lifecycle.is_ready)
+    await wait_until(lambda: node.sidecar._registry.version == 2)
+    await asyncio.sleep(1.0)
+    return node
+
+
+async def test_restart_for_changed_settings_cuts_off_no_request(
+    deployment: Deployment,
+):
+    """A restart took the grace time for its bound, though nobody kills it.
+
+    Orders that take longer than the grace time were cut off (review/4).
+    """
+    node = await start_restarting_node(deployment, timeout_ms=9000)
+    grace = node.settings.bounds.grace
+    deployment.servers[0].behaviour.service_time = grace * 1.5
+    tally = Tally()
+    async with asyncio.TaskGroup() as group:
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        for number in range(4):
+            group.create_task(
+                send_once(node.caller_address, number, tally, deadline_ms=9000)
+            )
+            await asyncio.sleep(0.1)
+    assert not tally.cut_off_ids
+    assert list(tally.status_by_id.values()) == [200] * 4
+    async with asyncio.timeout(1.0):
+        await node.task
+
+
+async def test_signal_to_stop_ends_a_restart_within_the_grace_time(
+    deployment: Deployment,
+):
+    """A restart must not outlive a stop that the platform asks for."""
+    node = await start_restarting_node(deployment, timeout_ms=20000)
+    grace = node.settings.bounds.grace
+    deployment.servers[0].behaviour.service_time = grace * 4
+    tally = Tally()
+    order = asyncio.create_task(send_once(node.caller_address, 0, tally, 20000))
+    await asyncio.sleep(0.1)
+    os.kill(os.getpid(), signal.SIGHUP)
+    await asyncio.sleep(grace / 2)
+    node.sidecar.request_stop()
+    async with asyncio.timeout(grace):
+        await node.task
+    await order
+
+
+async def test_restart_does_not_wait_for_a_caller_that_stopped_reading(
+    deployment: Deployment,
+):
+    """One caller must not keep a node out of service."""
+    node = await start_restarting_node(deployment, timeout_ms=1000)
+    grace = node.settings.bounds.grace
+    streams = await asyncio.open_connection(
+        node.caller_address.host, node.caller_address.port
+    )
+    caller = PipeliningCaller(*streams)
+    deployment.servers[0].behaviour.body = b'x' * 8_000_000
+    caller.send('slow', '/order/x', 'POST')
+    await asyncio.sleep(0.5)
+    os.kill(os.getpid(), signal.SIGHUP)
+    async with asyncio.timeout(DRAIN_SECONDS + grace + 0.5):
+        await node.task
+    caller.writer.transport.abort()
