Wait in a planned stop for callers that read slowly

A planned stop waits for connections that are not idle, and a connection is idle when its task has handed the answer to the transport.

Change: a connection with bytes to send counts as one whose request is served. A caller that reads nothing for idle_timeout is closed whatever the size of the rest; before, only above 64 KiB.

--- a/mustardshunt/relay/_caller_connection.py
+++ b/mustardshunt/relay/_caller_connection.py
@@ -111,7 +111,6 @@
         '_drain_waiter',
         '_is_reading_paused',
         '_loop',
-        '_memory',
         '_owner',
         '_parser',
         '_received_at',
@@ -121,6 +120,7 @@
         '_transport',
         '_wake',
         'is_idle',
+        'memory',
     )
 
     def __init__(
@@ -131,7 +131,7 @@
         self._owner = owner
         self._loop = loop
         self._parser = RequestParser(owner.limits)
-        self._memory = CallerMemory(owner.memory, self._parser, self._wake_task)
+        self.memory = CallerMemory(owner.memory, self._parser, self._wake_task)
         self._transport: asyncio.Transport | None = None
         self._started: deque[_StartedRequest] = deque()
         self._current: ParsedRequest | None = None
@@ -147,14 +147,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        self._memory.open(self._transport)
+        self.memory.open(self._transport)
         self._owner.add(self)
         self._task = self._loop.create_task(self._run(), name='caller')
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests of the connection: their caller has left."""
         self._transport = None
-        self._memory.close()
+        self.memory.close()
         self._owner.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -184,9 +184,9 @@
         if (
             parser.is_receiving
             or parser.queued_bytes
-            or self._memory.is_arriving_charged
+            or self.memory.is_arriving_charged
         ):
-            self._memory.charge_request()
+            self.memory.charge_request()
         if parser.requests:
             self._start_ahead()
             self._limit_reading()
@@ -219,15 +219,14 @@
         limits : RequestLimits
             Limits that apply now.
         """
-        self._memory.charge_unread()
+        self.memory.charge_unread()
+        if self.memory.is_stalled(now, limits.idle_timeout):
+            self.abort()
+            return
         if self.is_idle:
             if now - self._timer_start > limits.idle_timeout:
                 self.close_if_idle()
             return
-        if self._drain_waiter is not None and self._memory.is_stalled(
-            now, limits.idle_timeout
-        ):
-            self.abort()
         if self._wake is None or not self._parser.is_receiving:
             return
         is_late = now - self._received_at > limits.idle_timeout
@@ -292,7 +291,7 @@
         is_stopping = self._owner.is_closing and not self._started
         is_last = parsed.should_close or is_stopping
         self._write(response, is_last, parsed.request.method == 'HEAD')
-        self._memory.release_body(parsed.request)
+        self.memory.release_body(parsed.request)
         if parsed.request.body and self._current is parsed:
             self._current = replace(
                 parsed, request=replace(parsed.request, body=b'')
@@ -303,7 +302,7 @@
         if self._started:
             started = self._started.popleft()
             response = await started.task
-            self._memory.remove_ready(response)
+            self.memory.remove_ready(response)
             return started.parsed, response
         self._current = None
         self._can_overlap = None
@@ -343,7 +342,7 @@
             task = self._loop.create_task(
                 self._handle(parsed.request), name='pipelined request'
             )
-            task.add_done_callback(self._memory.add_ready)
+            task.add_done_callback(self.memory.add_ready)
             self._started.append(_StartedRequest(parsed, task))
 
     def _may_overlap(self) -> bool:
@@ -384,7 +383,7 @@
             return
         self._transport.write(_render(response, is_last, is_head))
         if self._transport.get_write_buffer_size():
-            self._memory.charge_unread()
+            self.memory.charge_unread()
 
 
 def _render(response: HttpResponse, is_last: bool, is_head: bool) -> bytes:
--- a/mustardshunt/relay/_caller_memory.py
+++ b/mustardshunt/relay/_caller_memory.py
@@ -59,6 +59,16 @@
         """Set the transport of the connection, which has just opened."""
         self._transport = transport
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the transport still has bytes to send.
+
+        It keeps up to 64 KiB of an answer without a pause of the connection's
+        task, which may be idle then.
+        """
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def charge_request(self) -> None:
         """Charge the request that arrives, and bodies not answered yet.
 
@@ -109,7 +119,7 @@
     def is_stalled(self, now: float, timeout: float) -> bool:
         """Tell whether the caller has read nothing for too long.
 
-        Must be called regularly while the caller reads slowly.
+        Must be called regularly. A caller that has read everything is not late.
 
         Parameters
         ----------
@@ -121,7 +131,7 @@
         if self._transport is None:
             return False
         unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes != self._progress[0]:
+        if not unsent_bytes or unsent_bytes != self._progress[0]:
             self._progress = (unsent_bytes, now)
         return now - self._progress[1] > timeout
 
--- a/mustardshunt/relay/_server.py
+++ b/mustardshunt/relay/_server.py
@@ -73,8 +73,11 @@
             connection.close_if_idle()
 
     def active_requests(self) -> int:
-        """Return the number of connections with a request being served."""
-        return sum(not connection.is_idle for connection in self._connections)
+        """Return the number of connections with an answer not sent yet."""
+        return sum(
+            not connection.is_idle or connection.memory.has_unsent
+            for connection in self._connections
+        )
 
     def close(self) -> None:
         """Close the listening socket and abort all connections."""
--- a/mustardshunt/standin/tests/test_stop_under_load.py
+++ b/mustardshunt/standin/tests/test_stop_under_load.py
@@ -1,8 +1,11 @@
 """Tests of planned stops while callers send requests without a pause."""
 
 import asyncio
+import contextlib
 import os
+import re
 import signal
+import socket
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
@@ -12,6 +15,7 @@
 from mustardshunt.sidecar import SettingsFile, SidecarSettings
 from mustardshunt.sidecar._planned_stop import DRAIN_SECONDS
 from mustardshunt.sidecar._settings import ListenSection
+from mustardshunt.standin.sidecar_backend_server import SidecarBackendServer
 from mustardshunt.standin.tests.deployment import (
     Deployment,
     SidecarNode,
@@ -174,6 +178,83 @@
     assert 503 in tally.status_by_id.values()
 
 
+def connect_slow_reader(address: VmAddress) -> socket.socket:
+    """Connect with a small receive buffer, as a slow caller has."""
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.connect((address.host, address.port))
+    connection.setblocking(False)
+    return connection
+
+
+async def read_slowly(
+    connection: socket.socket, paused: asyncio.Event
+) -> tuple[int, int]:
+    """Return the stated and the received length of a body, in bytes."""
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(
+        connection,
+        b'GET /read/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'Mustardshunt-Request-Id: slow\r\n'
+        b'Authorization: Bearer k-acme\r\n\r\n',
+    )
+    await paused.wait()
+    received = b''
+    with contextlib.suppress(ConnectionError):
+        while piece := await loop.sock_recv(connection, 65536):
+            received += piece
+    connection.close()
+    head, _, body = received.partition(b'\r\n\r\n')
+    length = re.search(rb'Content-Length: (\d+)', head)
+    assert length is not None
+    return int(length[1]), len(body)
+
+
+@pytest.mark.parametrize('unsent_bytes', [1, 16384, 60000])
+async def test_planned_stop_waits_for_callers_that_read_slowly(
+    deployment: Deployment, unsent_bytes: int
+):
+    """An answer may lie in the process though its connection is idle.
+
+    The stop ended while up to 64 KiB of an answer were not sent, and cut it.
+    """
+    node = await deployment.add_node('a')
+    await deployment.wait_until_served(node)
+    server = deployment.servers[0]
+    grace = node.settings.bounds.grace
+    body_bytes = await find_kernel_capacity(node, server) + unsent_bytes
+    server.behaviour.body = b'x' * body_bytes
+    paused = asyncio.Event()
+    connection = connect_slow_reader(node.caller_address)
+    reading = asyncio.create_task(read_slowly(connection, paused))
+    await asyncio.sleep(0.3)
+    node.sidecar.request_stop()
+    # New requests are refused after half of the grace time.
+    await asyncio.sleep(grace * 0.7)
+    paused.set()
+    assert await reading == (body_bytes, body_bytes)
+    await node.task
+
+
+async def find_kernel_capacity(
+    node: SidecarNode, server: SidecarBackendServer
+) -> int:
+    """Return how much of an answer the kernel keeps for a slow reader."""
+    server.behaviour.body = b'x' * 8_000_000
+    connection = connect_slow_reader(node.caller_address)
+    reading = asyncio.create_task(read_slowly(connection, asyncio.Event()))
+    await asyncio.sleep(0.5)
+    unsent_bytes = max(
+        caller._transport.get_write_buffer_size()
+        for caller in node.sidecar._callers._connections
+        if caller._transport is not None
+    )
+    reading.cancel()
+    connection.close()
+    await asyncio.sleep(0.1)
+    return 8_000_000 - unsent_bytes
+
+
 class ChangedFile(SettingsFile):
     """Settings file whose settings differ from those of the process."""
 
