Tell other nodes when a named limit is no longer used

Results report the used part of a limit that a backend server names. An idle member then always looks better, no call goes to the limited one, and the end of its limit, which only an answer tells, is not found.

Change: a node whose results have reported a used part publishes its status once the part is 0, no sooner than 0.5 s after the last update.

--- a/mustardshunt/sidecar/_callee.py
+++ b/mustardshunt/sidecar/_callee.py
@@ -341,6 +341,8 @@
 
     def _limit_percent(self) -> int:
         utilisation = self.gate.named_limit.utilisation(self.clock.now())
+        if utilisation:
+            self.status_publisher.record_reported_use()
         return int(min(utilisation, MAX_LIMIT_UTILISATION) * _PERCENT)
 
     def _refuse(self, call: Call, sink: ResultSink, reason: Reason) -> None:
--- a/mustardshunt/sidecar/_status_publisher.py
+++ b/mustardshunt/sidecar/_status_publisher.py
@@ -58,6 +58,7 @@
         self._incarnation = incarnation
         self._sinks: list[ResultSink] = []
         self._published: BackendServerStatus | None = None
+        self._is_use_reported = False
         self._published_at = 0.0
 
     def subscribe(self, sink: ResultSink, status: BackendServerStatus) -> None:
@@ -78,16 +79,26 @@
         if published is None or _is_urgent(published, status):
             self.publish(status, now)
             return
-        if (
-            now - self._published_at >= MIN_LOAD_PUBLISH_SECONDS
-            and _has_changed_enough(published, status)
-        ):
+        if now - self._published_at < MIN_LOAD_PUBLISH_SECONDS:
+            return
+        is_unused = self._is_use_reported and not status.limit_utilisation
+        if is_unused or _has_changed_enough(published, status):
             self.publish(status, now)
 
+    def record_reported_use(self) -> None:
+        """Note that the result of a call reports a used part of a limit.
+
+        Other nodes send no more calls while other backend servers are less
+        used, and get no results then. They are told when the use has ended:
+        without a call, nobody would learn that the limit has ended.
+        """
+        self._is_use_reported = True
+
     def publish(self, status: BackendServerStatus, now: float) -> None:
         """Publish a status, even if it equals the last published status."""
         self._published = status
         self._published_at = now
+        self._is_use_reported = status.limit_utilisation > 0
         update = self._make_update(status)
         for sink in list(self._sinks):
             sink.update_status(update)
--- a/mustardshunt/sidecar/tests/test_status_publisher.py
+++ b/mustardshunt/sidecar/tests/test_status_publisher.py
@@ -59,3 +59,21 @@
         for number in range(300)
     ]
     assert len(publish(*varying)) <= 2
+
+
+def test_end_of_the_use_of_a_limit_is_published_once():
+    """Nodes that know a used part, however small, may send no more calls.
+
+    The end of the limit is known only from the answer to a call.
+    """
+    limited = dataclasses.replace(STATUS, request_limit=20.0)
+    used = dataclasses.replace(limited, limit_utilisation=0.2)
+    publisher = StatusPublisher('a', 'a-1')
+    publisher.publish_if_changed(limited, 1.0)
+    sink = RecordingSink()
+    publisher.subscribe(sink, limited)
+    publisher.record_reported_use()
+    for number, status in enumerate([used, limited, limited, limited]):
+        publisher.publish_if_changed(status, 2.0 + number)
+    utilisations = [update.limit_utilisation for update in sink.updates]
+    assert utilisations == [0, 0]
--- a/mustardshunt/standin/tests/test_request_limit.py
+++ b/mustardshunt/standin/tests/test_request_limit.py
@@ -89,6 +89,25 @@
     assert len(capped.times) > ALLOWED
 
 
+async def test_nodes_learn_that_a_limit_is_no_longer_used(
+    deployment: Deployment,
+):
+    """A stale used part kept all calls away, and so the end of the limit.
+
+    Results report the used part, and there are none without calls.
+    """
+    nodes = [await deployment.add_node(name) for name in ('a', 'b')]
+    for node in nodes:
+        await deployment.wait_until_served(node)
+    capped = Arrivals(deployment.servers[1])
+    await load(deployment, nodes, 2.0)
+    assert capped.times
+    known = [node.sidecar._balancer._load_by_name['b'] for node in nodes]
+    await wait_until(
+        lambda: not any(member.limit_utilisation for member in known)
+    )
+
+
 async def test_service_whose_servers_are_all_capped_refuses_the_rest(
     deployment: Deployment,
 ):
