Wait in a planned stop for results on their way to other nodes

A call has ended for the node that serves it when its result is handed to the link. A planned stop closed links with results half sent, and the caller of an order got 502, its effect unknown.

Change: PlannedStop also waits until the links of other nodes have nothing to send, within the same bounds.

--- a/mustardshunt/relay/_streams.py
+++ b/mustardshunt/relay/_streams.py
@@ -59,6 +59,14 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether frames wait to be sent."""
+        transport = self._transport
+        if transport is None:
+            return False
+        return bool(self._unsent) or transport.get_write_buffer_size() > 0
+
     def can_send(self, size: int) -> bool:
         """Reserve room for a frame that is sent next.
 
--- a/mustardshunt/sidecar/_node.py
+++ b/mustardshunt/sidecar/_node.py
@@ -314,6 +314,7 @@
             self._callers,
             self._ingress,
             self._callee,
+            self._peers,
             log,
             self._clock,
         )
--- a/mustardshunt/sidecar/_peer_server.py
+++ b/mustardshunt/sidecar/_peer_server.py
@@ -328,6 +328,10 @@
             if now - stream.last_received_at > MAX_SILENCE_SECONDS:
                 stream.abort()
 
+    def has_unsent(self) -> bool:
+        """Tell whether results of calls wait to be sent to other nodes."""
+        return any(stream.has_unsent for stream in self._streams)
+
     def close(self) -> None:
         """Stop accepting links and close the open ones."""
         if self._server is not None:
--- a/mustardshunt/sidecar/_planned_stop.py
+++ b/mustardshunt/sidecar/_planned_stop.py
@@ -11,6 +11,7 @@
 from mustardshunt.sidecar._callee import Callee
 from mustardshunt.sidecar._ingress import Ingress
 from mustardshunt.sidecar._lifecycle import SidecarLifecycle
+from mustardshunt.sidecar._peer_server import PeerServer
 
 # Time for which a stopping node still serves new requests. Callers notice the
 # stop within two readiness checks, which are a second apart.
@@ -45,6 +46,8 @@
         Serves or refuses the requests of callers.
     callee : Callee
         Runs calls of other nodes at the backend server.
+    peers : PeerServer
+        Links on which the results of these calls are sent.
     log : EventLog
         Log of the stop.
     clock : Clock
@@ -59,6 +62,7 @@
         callers: HttpServer,
         ingress: Ingress,
         callee: Callee,
+        peers: PeerServer,
         log: EventLog,
         clock: Clock,
     ) -> None:
@@ -68,6 +72,7 @@
         self._callers = callers
         self._ingress = ingress
         self._callee = callee
+        self._peers = peers
         self._log = log
         self._clock = clock
         # Time by which the process must have ended, infinite while unknown.
@@ -109,4 +114,8 @@
             self._callers.close_idle()
 
     def _is_busy(self) -> bool:
-        return bool(self._callers.active_requests() or self._callee.in_flight())
+        return bool(
+            self._callers.active_requests()
+            or self._callee.in_flight()
+            or self._peers.has_unsent()
+        )
--- a/mustardshunt/standin/tests/test_stop_under_load.py
+++ b/mustardshunt/standin/tests/test_stop_under_load.py
@@ -12,7 +12,7 @@
 import pytest
 
 from mustardshunt.base import VmAddress
-from mustardshunt.sidecar import SettingsFile, SidecarSettings
+from mustardshunt.sidecar import SettingsFile, SidecarSettings, _peer_link
 from mustardshunt.sidecar._planned_stop import DRAIN_SECONDS
 from mustardshunt.sidecar._settings import ListenSection
 from mustardshunt.standin.sidecar_backend_server import SidecarBackendServer
@@ -236,6 +236,43 @@
     await node.task
 
 
+async def test_planned_stop_waits_for_results_on_their_way_to_other_nodes(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+):
+    """A long answer takes a while between nodes, and its call has ended.
+
+    The stop closed the link with the answer half sent: its caller lost it.
+    """
+    monkeypatch.setattr(_peer_link, 'BUSY_MAX_SILENCE_SECONDS', 5.0)
+    entry = await deployment.add_node('a', with_server=False)
+    stopped = await deployment.add_node('b')
+    await deployment.wait_until_served(entry)
+    set_order_timeout(deployment, timeout_ms=9000)
+    await wait_until(lambda: entry.sidecar._registry.version == 2)
+    grace = stopped.settings.bounds.grace
+    deployment.servers[0].behaviour.body = b'x' * 20_000_000
+    link = entry.sidecar._links.find('b')
+    assert link is not None
+    assert link._stream is not None
+    transport = link._stream._transport
+    assert transport is not None
+    transport.pause_reading()
+    order = asyncio.create_task(
+        deployment.call(
+            entry, 'POST', '/order/x', Mustardshunt_Deadline_Ms='9000'
+        )
+    )
+    await wait_until(stopped.sidecar._peers.has_unsent)
+    await wait_until(lambda: not stopped.sidecar._callee.in_flight())
+    stopped.sidecar.request_stop()
+    # New requests are refused after half of the grace time.
+    await asyncio.sleep(grace * 0.6)
+    transport.resume_reading()
+    status, body, _ = await order
+    assert (status, len(body)) == (200, 20_000_000)
+    await stopped.task
+
+
 async def find_kernel_capacity(
     node: SidecarNode, server: SidecarBackendServer
 ) -> int:
@@ -270,13 +307,18 @@
         return False
 
 
+def set_order_timeout(deployment: Deployment, timeout_ms: int) -> None:
+    """Replace the routes by one for orders, in version 2 of the policy."""
+    route = make_route('/order/', 'non_idempotent', 'stock')
+    route['timeout'] = f'{timeout_ms}ms'
+    deployment.store.put('op', 'config', make_policy(2, routes={'o': route}))
+
+
 async def start_restarting_node(
     deployment: Deployment, timeout_ms: int
 ) -> SidecarNode:
     """Start a node whose settings have changed, beside another one."""
-    route = make_route('/order/', 'non_idempotent', 'stock')
-    route['timeout'] = f'{timeout_ms}ms'
-    deployment.store.put('op', 'config', make_policy(2, routes={'o': route}))
+    set_order_timeout(deployment, timeout_ms)
     other = await deployment.add_node('b')
     settings = replace(
         other.settings,
