Split the parsers of requests and answers

Change: _request_parser.py and _answer_parser.py; index_headers and the constants that both use are in _messages.py. No behaviour changes.

--- a/mustardshunt/relay/__init__.py
+++ b/mustardshunt/relay/__init__.py
@@ -1,5 +1,6 @@
 """Connections of a node to callers, its backend server and other nodes."""
 
+from mustardshunt.relay._answer_parser import AnswerHead
 from mustardshunt.relay._backend_pool import (
     BackendAnswer,
     BackendConnectionPool,
@@ -31,7 +32,6 @@
     decode_frame,
     encode_frame,
 )
-from mustardshunt.relay._http_parser import AnswerHead
 from mustardshunt.relay._listening import is_listening
 from mustardshunt.relay._loop import make_event_loop
 from mustardshunt.relay._messages import (
--- a/mustardshunt/relay/_answer_memory.py
+++ b/mustardshunt/relay/_answer_memory.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from mustardshunt.memory import SMALL_BYTES, HeldPart, MemoryAccount
-from mustardshunt.relay._http_parser import AnswerParser
+from mustardshunt.relay._answer_parser import AnswerParser
 
 # Receive buffer of a connection whose answer waits for memory. The kernel's
 # buffer counts as memory of the process, and would grow to several MB.
--- a/mustardshunt/relay/_backend_pool.py
+++ b/mustardshunt/relay/_backend_pool.py
@@ -10,7 +10,7 @@
 from mustardshunt.base import VmAddress
 from mustardshunt.memory import HeldPart, MemoryAccount
 from mustardshunt.relay._answer_memory import AnswerMemory
-from mustardshunt.relay._http_parser import AnswerHead, AnswerParser
+from mustardshunt.relay._answer_parser import AnswerHead, AnswerParser
 from mustardshunt.relay._keepalive import enable_keepalive
 from mustardshunt.relay._messages import RawHeaders
 
--- a/mustardshunt/relay/_caller_connection.py
+++ b/mustardshunt/relay/_caller_connection.py
@@ -11,13 +11,13 @@
 from mustardshunt.memory import MemoryAccount
 from mustardshunt.policy import RequestLimits
 from mustardshunt.relay._caller_memory import CallerMemory
-from mustardshunt.relay._http_parser import ParsedRequest, RequestParser
 from mustardshunt.relay._messages import (
     STATUS_WITHOUT_BODY,
     HttpRequest,
     HttpResponse,
     RequestHandler,
 )
+from mustardshunt.relay._request_parser import ParsedRequest, RequestParser
 
 # Requests of one connection that are handled side by side. The callers of one
 # connection thus never take more than a small part of a backend server.
--- a/mustardshunt/relay/_caller_memory.py
+++ b/mustardshunt/relay/_caller_memory.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from mustardshunt.memory import SMALL_BYTES, HeldPart, MemoryAccount
-from mustardshunt.relay._http_parser import RequestParser
 from mustardshunt.relay._messages import HttpRequest, HttpResponse
+from mustardshunt.relay._request_parser import RequestParser
 
 
 class CallerMemory:
--- a/mustardshunt/relay/_messages.py
+++ b/mustardshunt/relay/_messages.py
@@ -3,6 +3,7 @@
 import functools
 from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final, Protocol, TypeAlias
 
 RawHeaders: TypeAlias = tuple[tuple[bytes, bytes], ...]
@@ -24,6 +25,10 @@
 # Largest number of header names whose lower-case form is cached.
 NAME_CACHE_SIZE: Final = 512
 STATUS_WITHOUT_BODY: Final = frozenset((204, 304))
+# Memory of each piece of a body besides its bytes. A body in tiny chunks takes
+# many times its length.
+PIECE_OVERHEAD_BYTES: Final = 64
+NO_HEADERS: Final[Mapping[str, str]] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,3 +139,26 @@
 def _parse_connection_header(value: bytes) -> frozenset[bytes]:
     names = {part.strip().lower() for part in value.split(b',')}
     return frozenset(names - {b'close', b'keep-alive', b''})
+
+
+@functools.lru_cache(maxsize=NAME_CACHE_SIZE)
+def _name_text(name: bytes) -> str:
+    return name.lower().decode('latin-1')
+
+
+def index_headers(raw_headers: RawHeaders) -> Mapping[str, str]:
+    """Return the headers by lower-case name, the first one of each name.
+
+    Examples
+    --------
+    >>> dict(index_headers(((b'A', b'1'), (b'a', b'2'))))
+    {'a': '1'}
+    """
+    if not raw_headers:
+        return NO_HEADERS
+    text_by_name: dict[str, str] = {}
+    for name, text in raw_headers:
+        text_by_name.setdefault(
+            _name_text(name), text.decode('utf-8', 'surrogateescape')
+        )
+    return text_by_name
--- a/mustardshunt/relay/_server.py
+++ b/mustardshunt/relay/_server.py
@@ -6,8 +6,8 @@
 from mustardshunt.base import VmAddress
 from mustardshunt.memory import MemoryAccount
 from mustardshunt.relay._caller_connection import CallerConnection
-from mustardshunt.relay._http_parser import LimitSource
 from mustardshunt.relay._messages import RequestHandler
+from mustardshunt.relay._request_parser import LimitSource
 
 # Number of connections that may wait to be accepted. When this many wait, the
 # kernel drops the SYN packet of a new connection, and the caller sends the
--- a/mustardshunt/relay/tests/test_fuzz.py
+++ b/mustardshunt/relay/tests/test_fuzz.py
@@ -13,8 +13,9 @@
 
 from mustardshunt.policy import RequestLimits
 from mustardshunt.relay import AnswerHead, FrameError, decode_frame
+from mustardshunt.relay._answer_parser import AnswerParser
 from mustardshunt.relay._frames import _FRAME_TYPES
-from mustardshunt.relay._http_parser import AnswerParser, RequestParser
+from mustardshunt.relay._request_parser import RequestParser
 
 EXAMPLES = os.environ.get('FUZZ_EXAMPLES')
 FUZZ = settings(
