Review: case 7, a crowd that does not read its answers shuts a node

Cause: an unread answer in the send buffer of the kernel keeps a connection from being idle, and no time without progress is measured for it.

Nothing is fixed.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -383,6 +383,7 @@
         self.acknowledged = 0
         self.next_report_at = 0.0
         self.headers = {}
+        self.body = b''
         self._server = None
         self._reports = None
 
@@ -475,7 +476,7 @@
             'Keep-Alive': 'timeout=10',
             **self.headers,
         }
-        body = f'answer to {run.request_id}'.encode()
+        body = f'answer to {run.request_id}'.encode() + self.body
         writer.write(render_answer(200, headers, body))
         await writer.drain()
 
