--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,7 +23,7 @@
 BURST = 5
 WINDOW_SECONDS = 5.0
 # Requests a second that clients send at each machine.
-DEMAND = 40.0
+DEMAND = 60.0
 DEMAND_SECONDS = 14.0
 MACHINES = 4
 RESTART_SECONDS = 0.5
