--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -794,6 +794,10 @@
     async def bounded():
         case = Case(Path(folder))
         code = 2
+        # The nodes end with the script, also if it is told to stop.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             code = await asyncio.wait_for(main(case), seconds)
         except (CannotRunError, TimeoutError) as error:
