--- a/review/8/case.py
+++ b/review/8/case.py
@@ -24,7 +24,7 @@
 WINDOW_SECONDS = 5.0
 # Requests a second that clients send at each machine.
 DEMAND = 60.0
-DEMAND_SECONDS = 14.0
+DEMAND_SECONDS = 9.0
 MACHINES = 4
 RESTART_SECONDS = 0.5
 OUTAGE_SECONDS = 4.5
@@ -137,7 +137,7 @@
         asyncio.create_task(send_always(case, machine, sent_at_by_id, until))
         for machine in machines
     ]
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(1.0)
     if TROUBLE:
         case.record.add('the store does not answer calls on the table nodes')
         store.silent_tables.add('nodes')
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -26,6 +26,9 @@
 # Requests a second that clients send at each machine.
 DEMAND = 40.0
 CUT_SECONDS = 12.0
+# The tenant's clients send in this time after the cut.
+DEMAND_FROM = 2.5
+DEMAND_UNTIL = 11.5
 
 CONFIG = {
     'version': 7,
@@ -132,24 +135,26 @@
 
     sent_at_by_id = {}
     began = now()
-    until = began + CUT_SECONDS
-    tasks = [
-        asyncio.create_task(send_always(case, machine, sent_at_by_id, until))
-        for machine in machines
-    ]
     cut = 'side-b-2'
     if TROUBLE:
         case.record.add('cut', cut, 'from all machines and from the store')
         store.cut_names.add(cut)
-        for name, proxy in proxy_by_name.items():
+        for proxy in proxy_by_name.values():
             proxy.cut_names.add(cut)
     await asyncio.sleep(0.5)
     joining.first_start = False
     joining.start()
-    await case.wait_ready(joining)
-    tasks.append(
-        asyncio.create_task(send_always(case, joining, sent_at_by_id, until))
-    )
+    await asyncio.sleep(began + DEMAND_FROM - now())
+    until = began + DEMAND_UNTIL
+    tasks = [
+        asyncio.create_task(send_always(case, machine, sent_at_by_id, until))
+        for machine in (*machines, joining)
+    ]
+    await asyncio.sleep(began + CUT_SECONDS - now())
+    store.cut_names.clear()
+    for proxy in proxy_by_name.values():
+        proxy.cut_names.clear()
+    case.record.add('the cut has ended')
     await asyncio.wait(tasks)
 
     runs = sorted(
